--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -1493,12 +1493,19 @@
       }
     }
     List<Renter.Demand> demands = new ArrayList<>();
+    Map<String, Placer.Use> uses = uses();
     for (Job j : waiting(now)) {
+      // What the team's limit keeps waiting would wait on rented machines as well.
+      int tasks = Math.min(j.pending(), withinLimit(j.spec, uses));
+      if (tasks == 0) {
+        continue;
+      }
+      charge(uses, j.spec, tasks);
       if (j.spec.spread()) {
         // Each zone may take its part only.
         Set<String> zones = new LinkedHashSet<>();
         types.values().forEach(t -> zones.addAll(t.zones()));
-        int left = j.pending();
+        int left = tasks;
         for (String zone : zones) {
           int n = Math.min(left, j.spec.perZone() - j.inZone(zone));
           if (n > 0) {
@@ -1507,7 +1514,7 @@
           }
         }
       } else {
-        demands.add(new Renter.Demand(j, j.pending(), Optional.empty()));
+        demands.add(new Renter.Demand(j, tasks, Optional.empty()));
       }
     }
     demands.addAll(headroom(usable));
@@ -1528,6 +1535,23 @@
     giveBackIdle(usable, now);
   }
 
+  /** How many more such tasks the team's limit allows. */
+  private int withinLimit(JobSpec spec, Map<String, Placer.Use> uses) {
+    Team t = teams.get(spec.team());
+    if (t == null) {
+      return 0;
+    }
+    Placer.Use u = uses.getOrDefault(spec.team(), new Placer.Use());
+    double n = spec.tasks();
+    if (t.cpusMax() > 0 && spec.cpus() > 0) {
+      n = Math.min(n, (t.cpusMax() - u.cpus + 1e-6) / spec.cpus());
+    }
+    if (t.gpusMax() > 0 && spec.gpus() > 0) {
+      n = Math.min(n, (t.gpusMax() - u.gpus + 1e-6) / spec.gpus());
+    }
+    return (int) Math.max(0, n);
+  }
+
   /** Room to keep for classes that are expected to start at once. */
   private List<Renter.Demand> headroom(List<Machine> usable) {
     Map<String, Integer> running = new HashMap<>();
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/RandomRunsTest.java
@@ -0,0 +1,121 @@
+package io.pearscale.sim;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Days with random jobs and troubles from fixed seeds. The world checks the rules after each event;
+ * at the end all work must have come right, since all troubles are over by then.
+ */
+class RandomRunsTest {
+  private static final int RUNS = Integer.getInteger("pearscale.randomRuns", 120);
+  private static final long FIRST = Long.getLong("pearscale.firstSeed", 1);
+
+  @Test
+  void rulesHoldAndWorkComesRight() {
+    List<String> bad = new ArrayList<>();
+    for (long seed = FIRST; seed < FIRST + RUNS; seed++) {
+      String text = day(seed);
+      List<String> failures = Scenario.play(text, seed);
+      if (!failures.isEmpty()) {
+        bad.add("seed " + seed + ":\n" + String.join("\n", failures));
+        if (bad.size() >= 3) {
+          break;
+        }
+      }
+    }
+    assertTrue(bad.isEmpty(), String.join("\n\n", bad));
+  }
+
+  static String day(long seed) {
+    RandomGenerator r = RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 7919);
+    StringBuilder s = new StringBuilder();
+    boolean limit = r.nextInt(4) == 0;
+    s.append("nodes 3\nzones a b\ntype small cpus=8 mem=64 boot=5\ntype big cpus=16 mem=64 boot=8")
+        .append(" price=1.8 spot=0.8\n")
+        .append("capacity small a ordinary 5\ncapacity small b ordinary 5\n")
+        .append("capacity small a spot 3\ncapacity big b ordinary 2\ncapacity big b spot 2\n")
+        .append("machines small a ordinary 2\nmachines small b ordinary 2\n")
+        .append("drift hive-0 1.0005\ndrift hive-1 0.9995\n")
+        .append("team t")
+        .append(limit ? " cpus_max=24\n" : "\n")
+        .append("team u\n")
+        .append("class web wait 1\n");
+    StringBuilder expect = new StringBuilder();
+    int jobs = 6 + r.nextInt(8);
+    for (int i = 0; i < jobs; i++) {
+      String id = "wk-" + i;
+      boolean service = r.nextInt(3) == 0;
+      int tasks = 1 + r.nextInt(service ? 4 : 12);
+      s.append(
+              "at %.2f submit %s %s tasks=%d cpus=%d"
+                  .formatted(
+                      1 + r.nextDouble() * 70,
+                      id,
+                      service ? "service" : "batch",
+                      tasks,
+                      1 + r.nextInt(3)))
+          .append(service ? " class=web" : "")
+          .append(limit && service || r.nextInt(4) == 0 ? " team=u" : "")
+          .append(r.nextInt(3) == 0 ? " spread" : r.nextInt(6) == 0 ? " one-zone" : "")
+          .append(!service && r.nextInt(2) == 0 ? " spot" : "")
+          .append(r.nextInt(3) == 0 && !service ? " priority=idle checkpoint=3 save=1" : "")
+          .append(" image=i" + r.nextInt(3))
+          .append(" run=" + (2 + r.nextInt(14)) + "\n");
+      if (r.nextInt(4) == 0) {
+        s.append("at %.2f cancel %s\n".formatted(72 + r.nextDouble() * 20, id));
+        expect.append("expect " + id + " present 0\n");
+      } else if (service) {
+        expect.append("expect " + id + " present " + tasks + "\n");
+      } else {
+        expect.append("expect " + id + " stage done\n");
+      }
+    }
+    int troubles = 2 + r.nextInt(6);
+    for (int i = 0; i < troubles; i++) {
+      trouble(r, s, i);
+    }
+    return s.append("until 330\n").append(expect).toString();
+  }
+
+  private static void trouble(RandomGenerator r, StringBuilder s, int i) {
+    double at = 6 + r.nextDouble() * 70;
+    double end = at + 1 + r.nextDouble() * 40;
+    String node = "hive-" + r.nextInt(3);
+    String machine = "m-00000" + r.nextInt(6);
+    String hold = r.nextBoolean() ? " hold" : "";
+    switch (r.nextInt(10)) {
+      case 0 -> s.append("at %.2f crash %s\nat %.2f start %s\n".formatted(at, node, end, node));
+      case 1 -> s.append("at %.2f crash all\nat %.2f start all\n".formatted(at, at + 3));
+      case 2 ->
+          s.append(
+              "at %.2f cut %s all%s\nat %.2f heal %s all\n".formatted(at, node, hold, end, node));
+      case 3 ->
+          s.append(
+              "at %.2f cut %s workers%s\nat %.2f heal %s workers\n"
+                  .formatted(at, node, hold, end, node));
+      case 4 ->
+          s.append(
+              "at %.2f cut %s state%s\nat %.2f heal %s state\n"
+                  .formatted(at, node, hold, end, node));
+      case 5 ->
+          s.append(
+              "at %.2f cut %s all%s\nat %.2f heal %s all\n"
+                  .formatted(at, machine, hold, end, machine));
+      case 6 -> s.append("at %.2f down state\nat %.2f up state\n".formatted(at, at + 15));
+      case 7 ->
+          s.append(
+              "at %.2f late-commits %d %.2f\n"
+                  .formatted(at, 1 + r.nextInt(4), 1 + r.nextDouble() * 20));
+      case 8 -> s.append("at %.2f refuse %s\nat %.2f serve %s\n".formatted(at, node, end, node));
+      default ->
+          s.append(
+              "at %.2f crash %s\nat %.2f start %s\n".formatted(at, node, at + 0.2 + i * 0.1, node));
+    }
+  }
+}
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -90,6 +90,9 @@
   }
 
   void note(String text) {
+    if (Boolean.getBoolean("pearscale.trace")) {
+      System.err.printf("%8.3f %s%n", passed().toMillis() / 1000.0, text);
+    }
     log.add("%8.3f %s".formatted(passed().toMillis() / 1000.0, text));
   }
 
