Score zones by the room they have left, so that spread replicas find theirs

Ruled out: lost machines (none) and slow commits. A zone with less room left than the roomiest now costs score. What is left: images that are not cached, and jobs from before the zone filled.

--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -129,6 +129,17 @@
     return r;
   }
 
+  /** How many more tasks like these the machine could take, evicting lower ones if need be. */
+  int roomWithEviction(Job like) {
+    Room r = room();
+    for (Placement p : placements.values()) {
+      if (!p.doomed && p.job.spec.priority().compareTo(like.spec.priority()) < 0) {
+        r.give(p.job);
+      }
+    }
+    return r.count(like);
+  }
+
   boolean inDoubt() {
     return doubtToken >= seenToken;
   }
--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -73,6 +73,7 @@
   private final Map<String, Team> teams;
   private final Map<Machine, Room> rooms = new HashMap<>();
   private final Map<TaskClass, Visit> visits = new HashMap<>();
+  private final Map<TaskClass, Map<String, Integer>> zoneRoom = new HashMap<>();
   private final Map<String, Use> uses;
   private final List<Machine> machines;
   private final Instant now;
@@ -230,6 +231,7 @@
     return tuning.strandedWeight() * stranded
         + tuning.sameMachineWeight() * onMachine / Math.max(1, s.tasks())
         + tuning.sameZoneWeight() * inZone / Math.max(1, s.tasks())
+        + tuning.zoneBalanceWeight() * crowding(job, m.zone)
         - (m.images.containsKey(s.image()) ? tuning.imageWeight() : 0)
         + (s.spot() && !m.spot ? tuning.ordinaryWeight() : 0)
         // A machine that just missed a direct command gets its starts by report only, which is
@@ -237,6 +239,30 @@
         + (now.isBefore(m.directAfter) ? tuning.imageWeight() : 0);
   }
 
+  /**
+   * How much less room for such tasks the zone has than the roomiest one, from 0 to 1. A job that
+   * must spread can't do without the smaller zone; one that need not shouldn't fill it up.
+   */
+  private double crowding(Job job, String zone) {
+    Map<String, Integer> free =
+        zoneRoom.computeIfAbsent(TaskClass.of(job.spec), k -> roomByZone(job));
+    int most = 0;
+    for (int n : free.values()) {
+      most = Math.max(most, n);
+    }
+    return most == 0 ? 0 : 1 - free.getOrDefault(zone, 0) / (double) most;
+  }
+
+  private Map<String, Integer> roomByZone(Job job) {
+    Map<String, Integer> free = new HashMap<>();
+    for (Machine m : machines) {
+      if (job.spec.allows(m.type, m.zone, m.spot)) {
+        free.merge(m.zone, m.roomWithEviction(job), Integer::sum);
+      }
+    }
+    return free;
+  }
+
   private Optional<Choice> evict(Job job) {
     boolean guaranteed = !beyondGuarantee(job.spec.team(), job.spec.cpus(), job.spec.gpus());
     Choice best = null;
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -590,6 +590,14 @@
           default -> Stage.RUNNING;
         };
     if (p.stage == Stage.RUNNING && before != Stage.RUNNING) {
+      log.debug(
+          "event=running term={} machine={} task={} attempt={} since_submit_ms={} since_start_ms={}",
+          term,
+          p.machine.name,
+          p.task,
+          p.attempt,
+          Duration.between(p.job.submitted, now()).toMillis(),
+          Duration.between(p.since, now()).toMillis());
       p.machine.noteImage(p.job.spec.image(), p.job.spec.imageGb());
       Instant now = now();
       if (before == Stage.SENT || before == Stage.FETCHING) {
@@ -859,6 +867,15 @@
               Stage.PLANNED,
               now);
       add(p);
+      log.debug(
+          "event=placed term={} machine={} task={} attempt={} class={} image={} cached={}",
+          term,
+          m.name,
+          p.task,
+          p.attempt,
+          j.spec.jobClass(),
+          j.spec.image(),
+          m.images.containsKey(j.spec.image()));
       if (!j.opened.get(i)) {
         mark(j, i);
       }
@@ -1577,7 +1594,7 @@
       Map<String, Integer> free = new HashMap<>();
       for (Machine m : usable) {
         if (sample.spec.allows(m.type, m.zone, m.spot)) {
-          free.merge(m.zone, roomFor(m, sample), Integer::sum);
+          free.merge(m.zone, m.roomWithEviction(sample), Integer::sum);
         }
       }
       Set<String> zones = new LinkedHashSet<>();
@@ -1593,17 +1610,6 @@
     return demands;
   }
 
-  /** How many more tasks like these the machine could take, evicting lower ones if need be. */
-  private static int roomFor(Machine m, Job sample) {
-    Machine.Room r = m.room();
-    for (Placement p : m.placements.values()) {
-      if (!p.doomed && p.job.spec.priority().compareTo(sample.spec.priority()) < 0) {
-        r.give(p.job);
-      }
-    }
-    return r.count(sample);
-  }
-
   private void giveBackIdle(List<Machine> usable, Instant now) {
     if (jobs.values().stream().anyMatch(j -> !j.unknown.isEmpty())) {
       return;
--- a/src/main/java/io/pearscale/bookkeeping/Tuning.java
+++ b/src/main/java/io/pearscale/bookkeeping/Tuning.java
@@ -10,6 +10,7 @@
  * @param strandedWeight cost of room left over on a machine, per resource
  * @param sameMachineWeight cost per task of the same job on the machine
  * @param sameZoneWeight cost per task of the same job in the zone
+ * @param zoneBalanceWeight cost of using a zone that has less room left than the roomiest
  * @param imageWeight bonus of a cached image
  * @param ordinaryWeight cost of putting work that may use spot machines on an ordinary one
  * @param idleRelease how long a machine may idle before it is given back
@@ -22,6 +23,7 @@
     double strandedWeight,
     double sameMachineWeight,
     double sameZoneWeight,
+    double zoneBalanceWeight,
     double imageWeight,
     double ordinaryWeight,
     Duration idleRelease,
@@ -30,6 +32,6 @@
 
   /** The defaults. */
   public static Tuning defaults() {
-    return new Tuning(8, 1.0, 0.3, 0.1, 1.0, 0.3, Duration.ofSeconds(60), 0.05, 1.15);
+    return new Tuning(8, 1.0, 0.3, 0.1, 0.5, 1.0, 0.3, Duration.ofSeconds(60), 0.05, 1.15);
   }
 }
--- a/src/main/java/io/pearscale/cli/TuningReader.java
+++ b/src/main/java/io/pearscale/cli/TuningReader.java
@@ -22,6 +22,7 @@
     KNOWN.put("stranded-weight", new Range(0, 100));
     KNOWN.put("same-machine-weight", new Range(0, 100));
     KNOWN.put("same-zone-weight", new Range(0, 100));
+    KNOWN.put("zone-balance-weight", new Range(0, 100));
     KNOWN.put("image-weight", new Range(0, 100));
     KNOWN.put("ordinary-weight", new Range(0, 100));
     KNOWN.put("idle-release-s", new Range(1, 86_400));
@@ -42,6 +43,7 @@
         values.getOrDefault("stranded-weight", d.strandedWeight()),
         values.getOrDefault("same-machine-weight", d.sameMachineWeight()),
         values.getOrDefault("same-zone-weight", d.sameZoneWeight()),
+        values.getOrDefault("zone-balance-weight", d.zoneBalanceWeight()),
         values.getOrDefault("image-weight", d.imageWeight()),
         values.getOrDefault("ordinary-weight", d.ordinaryWeight()),
         Optional.ofNullable(values.get("idle-release-s"))
