Meet machines that can be spared last, give them back, and rent by use

Machines whose work would fit elsewhere with a quarter to spare are now met last and go once they are empty.

--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -68,7 +68,10 @@
   int errors;
   final Set<String> errorJobs = new HashSet<>();
   Instant avoidUntil = Instant.MIN;
-  Instant idleSince = Instant.MAX;
+
+  /** Since when the machine can be spared; far in the future when it can't. */
+  Instant spareSince = Instant.MAX;
+
   boolean listed;
   Instant listedSince = Instant.MIN;
 
--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -184,11 +184,13 @@
     u.gpus += job.spec.gpus();
   }
 
+  /** Random order; machines that can be spared are met last, so that they run empty. */
   private List<Machine> shuffled() {
     List<Machine> order = new ArrayList<>(machines);
     for (int i = order.size() - 1; i > 0; i--) {
       Collections.swap(order, i, random.nextInt(i + 1));
     }
+    order.sort(Comparator.comparing(m -> !m.spareSince.equals(Instant.MAX)));
     return order;
   }
 
--- a/src/main/java/io/pearscale/bookkeeping/Renter.java
+++ b/src/main/java/io/pearscale/bookkeeping/Renter.java
@@ -88,7 +88,8 @@
     }
     Map<Kind, Integer> hires = new LinkedHashMap<>();
     int total = 0;
-    for (Demand d : demands) {
+    for (int i = 0; i < demands.size(); i++) {
+      Demand d = demands.get(i);
       int left = d.tasks();
       for (Bin b : bins) {
         if (left == 0) {
@@ -97,7 +98,7 @@
         left -= b.take(d, left);
       }
       while (left > 0 && total < MOST_AT_ONCE) {
-        Optional<Bin> best = cheapest(d, left, types, now);
+        Optional<Bin> best = cheapest(d, left, demands.subList(i + 1, demands.size()), types, now);
         if (best.isEmpty()) {
           break;
         }
@@ -111,7 +112,12 @@
     return hires;
   }
 
-  private Optional<Bin> cheapest(Demand d, int tasks, Collection<MachineType> types, Instant now) {
+  /**
+   * The cheapest kind by the price of a place that will be used. What is asked for later in the
+   * list counts as use too: many small jobs fill a large machine as well as one large job does.
+   */
+  private Optional<Bin> cheapest(
+      Demand d, int tasks, List<Demand> later, Collection<MachineType> types, Instant now) {
     Bin best = null;
     double bestCost = Double.MAX_VALUE;
     for (MachineType t : types) {
@@ -122,11 +128,15 @@
             continue;
           }
           Bin b = new Bin(t, zone, spot);
-          int n = new Bin(t, zone, spot).take(d, tasks);
-          if (n == 0) {
+          Bin trial = new Bin(t, zone, spot);
+          double used = trial.take(d, tasks) * size(d.job());
+          if (used == 0) {
             continue;
           }
-          double cost = t.price(spot) * (spot ? tuning.spotRisk() : 1) / n;
+          for (Demand other : later) {
+            used += trial.take(other, other.tasks()) * size(other.job());
+          }
+          double cost = t.price(spot) * (spot ? tuning.spotRisk() : 1) / used;
           if (cost < bestCost) {
             bestCost = cost;
             best = b;
@@ -137,6 +147,11 @@
     return Optional.ofNullable(best);
   }
 
+  /** A measure of a task that is comparable between machine types. */
+  private static double size(Job j) {
+    return Math.max(1e-6, j.spec.cpus() + j.spec.gpus() + j.spec.memoryGb() * 1e-3);
+  }
+
   /** How long a machine may boot before it no longer counts as coming. */
   static Duration patience(MachineType t) {
     return t.boot().multipliedBy(2).plusSeconds(5);
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -695,7 +695,6 @@
 
   private void add(Placement p) {
     p.machine.placements.put(p.task, p);
-    p.machine.idleSince = Instant.MAX;
     p.job.placed.put(p.task.index(), p);
   }
 
@@ -1408,13 +1407,6 @@
     if (!m.settled && !m.calling && m.everReported && now.isAfter(m.directAfter)) {
       probe(m);
     }
-    if (m.calling || m.life != Life.UP) {
-      m.idleSince = Instant.MAX;
-    } else if (m.placements.isEmpty()) {
-      if (m.idleSince.equals(Instant.MAX)) {
-        m.idleSince = now;
-      }
-    }
     if (!m.faulty && m.takenAt.isEmpty() && m.life == Life.UP) {
       if (now.isAfter(m.heard.plus(settings.workers().report().multipliedBy(4)))) {
         unplan(m);
@@ -1549,7 +1541,7 @@
           renter.noteAsked(kind, now);
           cloud.tell(new CloudActor.Hire(kind, n));
         });
-    giveBackIdle(usable, now);
+    spare(usable, now);
   }
 
   /** How many more such tasks the team's limit allows. */
@@ -1610,26 +1602,51 @@
     return demands;
   }
 
-  private void giveBackIdle(List<Machine> usable, Instant now) {
+  /**
+   * Finds machines that can be spared, the dearest first: what they run would fit elsewhere, with
+   * room to spare for what may come. Such machines are met last by new tasks, run empty, and are
+   * given back.
+   */
+  private void spare(List<Machine> usable, Instant now) {
     if (jobs.values().stream().anyMatch(j -> !j.unknown.isEmpty())) {
       return;
     }
-    Machine victim = null;
+    List<Machine> candidates = new ArrayList<>();
+    double free = 0;
+    double used = 0;
     for (Machine m : usable) {
-      if (m.placements.isEmpty()
-          && !m.idleSince.equals(Instant.MAX)
-          && now.isAfter(m.idleSince.plus(tuning.idleRelease()))
-          && (victim == null || m.type.price(m.spot) > victim.type.price(victim.spot))) {
-        victim = m;
-      }
-    }
-    if (victim == null) {
-      return;
-    }
+      double mine = m.type.cpus() - m.room().cpus;
+      used += mine;
+      free += m.type.cpus() - mine;
+      if (m.placements.values().stream().noneMatch(p -> p.job.spec.service())) {
+        candidates.add(m);
+      }
+    }
+    candidates.sort(
+        Comparator.comparing((Machine m) -> -m.type.price(m.spot) / Math.max(1e-9, m.type.cpus()))
+            .thenComparing(m -> m.type.cpus() - m.room().cpus)
+            .thenComparing(m -> m.name));
+    double reserve = tuning.spareShare() * used;
     List<Machine> rest = new ArrayList<>(usable);
-    rest.remove(victim);
-    if (headroom(rest).isEmpty()) {
-      retire(victim, "idle");
+    boolean waiting = jobs.values().stream().anyMatch(j -> j.pending() > 0);
+    for (Machine m : candidates) {
+      double mine = m.type.cpus() - m.room().cpus;
+      double after = free - (m.type.cpus() - mine) - mine;
+      rest.remove(m);
+      if (!waiting && after >= reserve && headroom(rest).isEmpty()) {
+        free = after;
+        if (m.spareSince.equals(Instant.MAX)) {
+          m.spareSince = now;
+        }
+        if (m.placements.isEmpty()
+            && now.isAfter(m.spareSince.plus(tuning.idleRelease()))
+            && now.isAfter(m.rented.plusSeconds(60))) {
+          retire(m, "spare");
+        }
+      } else {
+        rest.add(m);
+        m.spareSince = Instant.MAX;
+      }
     }
   }
 
--- a/src/main/java/io/pearscale/bookkeeping/Tuning.java
+++ b/src/main/java/io/pearscale/bookkeeping/Tuning.java
@@ -13,7 +13,8 @@
  * @param zoneBalanceWeight cost of using a zone that has less room left than the roomiest
  * @param imageWeight bonus of a cached image
  * @param ordinaryWeight cost of putting work that may use spot machines on an ordinary one
- * @param idleRelease how long a machine may idle before it is given back
+ * @param idleRelease how long a machine must have been to spare before it is given back
+ * @param spareShare room to keep beyond what is used, as a part of what is used
  * @param headroomShare part of the running tasks of a class with a start objective for which room
  *     is kept
  * @param spotRisk factor on the spot price for the risk of losing the machine
@@ -27,11 +28,12 @@
     double imageWeight,
     double ordinaryWeight,
     Duration idleRelease,
+    double spareShare,
     double headroomShare,
     double spotRisk) {
 
   /** The defaults. */
   public static Tuning defaults() {
-    return new Tuning(8, 1.0, 0.3, 0.1, 0.5, 1.0, 0.3, Duration.ofSeconds(60), 0.05, 1.15);
+    return new Tuning(8, 1.0, 0.3, 0.1, 0.5, 1.0, 0.3, Duration.ofSeconds(30), 0.25, 0.05, 1.15);
   }
 }
--- a/src/main/java/io/pearscale/cli/TuningReader.java
+++ b/src/main/java/io/pearscale/cli/TuningReader.java
@@ -26,6 +26,7 @@
     KNOWN.put("image-weight", new Range(0, 100));
     KNOWN.put("ordinary-weight", new Range(0, 100));
     KNOWN.put("idle-release-s", new Range(1, 86_400));
+    KNOWN.put("spare-share", new Range(0, 10));
     KNOWN.put("headroom-share", new Range(0, 10));
     KNOWN.put("spot-risk", new Range(1, 100));
   }
@@ -49,6 +50,7 @@
         Optional.ofNullable(values.get("idle-release-s"))
             .map(s -> Duration.ofMillis((long) (s * 1000)))
             .orElse(d.idleRelease()),
+        values.getOrDefault("spare-share", d.spareShare()),
         values.getOrDefault("headroom-share", d.headroomShare()),
         values.getOrDefault("spot-risk", d.spotRisk()));
   }
