--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -33,6 +33,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Comparator;
@@ -161,6 +162,7 @@
   private Instant nextFigures = Instant.MIN;
   private boolean settledLogged;
   private final Map<String, Job> samples = new HashMap<>();
+  private final Map<String, ArrayDeque<Integer>> sizes = new HashMap<>();
   private final Histogram startMillis = new Histogram(3);
   private final Histogram passMicros = new Histogram(3);
 
@@ -297,7 +299,9 @@
       if (age.isNegative()) {
         age = Duration.ZERO;
       }
-      jobs.put(spec.id(), new Job(spec, e.stamp(), now().minus(age)));
+      Job job = new Job(spec, e.stamp(), now().minus(age));
+      jobs.put(spec.id(), job);
+      noteSize(spec, job);
     } catch (Malformed x) {
       log.error("event=stored_job_unreadable reason={}", x.getMessage());
     }
@@ -1602,6 +1606,35 @@
     return demands;
   }
 
+  /** How many tasks of a class with a time to keep have room on the machine now. */
+  private int placesFor(String jobClass, Machine m) {
+    Job sample = samples.get(jobClass);
+    return sample != null && sample.spec.allows(m.type, m.zone, m.spot)
+        ? m.room().count(sample)
+        : 0;
+  }
+
+  /** Tasks of a large job of the class, as seen lately: nine of ten have no more. */
+  private int largeJob(String jobClass) {
+    int[] sorted = sizes.get(jobClass).stream().mapToInt(n -> n).sorted().toArray();
+    return sorted.length == 0 ? 0 : sorted[sorted.length * 9 / 10];
+  }
+
+  /** Remembers what jobs of classes with a time to keep are like. */
+  private void noteSize(JobSpec spec, Job job) {
+    for (Objective o : settings.objectives()) {
+      if (o.jobClass().equals(spec.jobClass()) && !spec.service()) {
+        ArrayDeque<Integer> last = sizes.computeIfAbsent(spec.jobClass(), c -> new ArrayDeque<>());
+        last.add(spec.tasks());
+        if (last.size() > 40) {
+          last.poll();
+        }
+        samples.put(spec.jobClass(), job);
+        return;
+      }
+    }
+  }
+
   /**
    * Finds machines that can be spared, the dearest first: what they run would fit elsewhere, with
    * room to spare for what may come. Such machines are met last by new tasks, run empty, and are
@@ -1627,14 +1660,26 @@
             .thenComparing(m -> m.type.cpus() - m.room().cpus)
             .thenComparing(m -> m.name));
     double reserve = tuning.spareShare() * used;
+    Map<String, Integer> places = new HashMap<>();
+    for (String c : sizes.keySet()) {
+      for (Machine m : usable) {
+        places.merge(c, placesFor(c, m), Integer::sum);
+      }
+    }
     List<Machine> rest = new ArrayList<>(usable);
     boolean waiting = jobs.values().stream().anyMatch(j -> j.pending() > 0);
     for (Machine m : candidates) {
       double mine = m.type.cpus() - m.room().cpus;
       double after = free - (m.type.cpus() - mine) - mine;
       rest.remove(m);
-      if (!waiting && after >= reserve && headroom(rest).isEmpty()) {
+      boolean room = after >= reserve && headroom(rest).isEmpty();
+      for (String c : sizes.keySet()) {
+        int lost = placesFor(c, m);
+        room &= lost == 0 || places.get(c) - lost >= largeJob(c);
+      }
+      if (!waiting && room) {
         free = after;
+        sizes.keySet().forEach(c -> places.merge(c, -placesFor(c, m), Integer::sum));
         if (m.spareSince.equals(Instant.MAX)) {
           m.spareSince = now;
         }
