Find ended leaders and silent machines sooner

Now a few silent machines that miss two probes are deleted, which proves them empty; a lost machine leaves the roster; and a leader whose process refuses connections has its grant revoked.

--- a/src/main/java/io/pearscale/bookkeeping/Controller.java
+++ b/src/main/java/io/pearscale/bookkeeping/Controller.java
@@ -187,6 +187,12 @@
     }
   }
 
+  /** A peer's process seems to have ended. */
+  public void peerEnded(String peer) {
+    peers.remove(peer);
+    election.tell(new ElectionActor.PeerEnded(peer));
+  }
+
   /**
    * Whether this controller should get users. One that can't reach the state service is of no use
    * to them while another can; if none can, all stay, since leaving would only add the balancer's
--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -62,6 +62,10 @@
 
   boolean everReported;
   boolean calling;
+
+  /** Probes without an answer since it was last heard. */
+  int missedProbes;
+
   Instant directAfter = Instant.MIN;
   Optional<Instant> takenAt = Optional.empty();
   boolean faulty;
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -498,6 +498,7 @@
     m.seenToken = Math.max(m.seenToken, r.token());
     m.address = r.address();
     m.heard = now;
+    m.missedProbes = 0;
     if (m.life == Life.BOOTING) {
       m.life = Life.UP;
     }
@@ -1060,8 +1061,9 @@
         log.warn("event=worker_answer_malformed machine={} reason={}", m.name, e.getMessage());
       }
     }
-    if (d.orders.isEmpty() && !m.settled) {
-      m.directAfter = now().plus(DIRECT_PAUSE);
+    if (d.orders.isEmpty()) {
+      m.missedProbes++;
+      m.directAfter = now().plusMillis(500);
       return;
     }
     // It may have been executed, or be executed later: a higher token puts an end to that.
@@ -1145,6 +1147,7 @@
         it.remove();
         continue;
       }
+      garbage.remove(Keys.host(m.name));
       changes.add(Change.write(Keys.host(m.name), hostValue(m)));
       batch.hosts.put(m, m.life == Life.RETIRING);
       size += 300;
@@ -1406,11 +1409,34 @@
       for (Placement p : List.copyOf(m.placements.values())) {
         remove(p);
       }
+      if (m.recorded && m.life == Life.UP) {
+        // A successor need not wait for it again. Before its next start it is recorded anew.
+        m.recorded = false;
+        dirtyHosts.remove(m);
+        garbage.add(Keys.host(m.name));
+        planCommit();
+      }
       log.warn("event=machine_lost term={} machine={} tasks={}", term, m.name, dropped);
     }
-    if (!m.settled && !m.calling && m.everReported && now.isAfter(m.directAfter)) {
+    Instant spoke = m.heard.isAfter(wonAt) ? m.heard : wonAt;
+    Duration silence = Duration.between(spoke, now);
+    Duration report = settings.workers().report();
+    boolean quiet = silence.compareTo(report.multipliedBy(3).dividedBy(2)) > 0;
+    if (m.life == Life.UP
+        && m.everReported
+        && !m.lost
+        && (!m.settled || quiet)
+        && !m.calling
+        && now.isAfter(m.directAfter)) {
       probe(m);
     }
+    boolean deaf =
+        m.life == Life.UP
+            && !m.lost
+            && m.missedProbes >= 2
+            && silence.compareTo(report.multipliedBy(2)) > 0
+            && (!m.placements.isEmpty() || !m.settled)
+            && fewAreSilent(now);
     if (!m.faulty && m.takenAt.isEmpty() && m.life == Life.UP) {
       if (now.isAfter(m.heard.plus(settings.workers().report().multipliedBy(4)))) {
         unplan(m);
@@ -1428,9 +1454,32 @@
             && now.isAfter(m.takenAt.get().plusSeconds(2))
             && now.isAfter(m.heard.plusSeconds(3));
     boolean faultyEmpty = m.faulty && m.life == Life.UP && m.placements.isEmpty();
-    if (neverCame || silentLong || takenAway || faultyEmpty) {
-      retire(m, neverCame ? "never_came" : takenAway ? "taken" : faultyEmpty ? "faulty" : "silent");
+    if (neverCame || silentLong || takenAway || faultyEmpty || deaf) {
+      retire(
+          m,
+          neverCame
+              ? "never_came"
+              : takenAway ? "taken" : faultyEmpty ? "faulty" : deaf ? "deaf" : "silent");
+    }
+  }
+
+  /**
+   * Deleting a silent machine proves it empty sooner than waiting for its lease. That is only worth
+   * it, and only believable, while nearly all others are heard: else it is we who are cut off.
+   */
+  private boolean fewAreSilent(Instant now) {
+    int up = 0;
+    int silent = 0;
+    Instant limit = now.minus(settings.workers().report().multipliedBy(2));
+    for (Machine m : machines.values()) {
+      if (m.life == Life.UP && m.everReported && !m.lost) {
+        up++;
+        if (m.heard.isBefore(limit)) {
+          silent++;
+        }
+      }
     }
+    return silent <= Math.max(2, up / 6) && silent * 2 < up;
   }
 
   /** Takes back what was decided for a machine that turned bad before the start was sent. */
--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -6,6 +6,7 @@
 import io.pearscale.protocol.Settings;
 import io.pearscale.transport.HttpCalls;
 import io.pearscale.transport.HttpServer;
+import io.pearscale.transport.Links;
 import io.pearscale.transport.PeerLinks;
 import io.pearscale.transport.XnioLoop;
 import io.undertow.connector.ByteBufferPool;
@@ -46,7 +47,17 @@
             settings.host(),
             "pearscale/" + PeerMessage.VERSION,
             settings.peers(),
-            (peer, frame) -> controller.fromPeer(peer, frame));
+            new Links.Receiver() {
+              @Override
+              public void received(String peer, byte[] frame) {
+                controller.fromPeer(peer, frame);
+              }
+
+              @Override
+              public void ended(String peer) {
+                controller.peerEnded(peer);
+              }
+            });
     RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
     controller =
         new Controller(loop, calls, links, settings, tuning, random, InstantSource.system());
--- a/src/main/java/io/pearscale/coordination/ElectionActor.java
+++ b/src/main/java/io/pearscale/coordination/ElectionActor.java
@@ -47,6 +47,9 @@
   /** A peer says who leads; counts only for controllers that can't ask the state service. */
   public record Heard(long term, String leader) implements Message {}
 
+  /** A peer's process seems to have ended. */
+  public record PeerEnded(String peer) implements Message {}
+
   private record Renew(int round) implements Message {}
 
   private record Stand(int round) implements Message {}
@@ -133,6 +136,8 @@
       }
     } else if (message instanceof Heard m) {
       heard(m);
+    } else if (message instanceof PeerEnded m) {
+      peerEnded(m.peer);
     } else if (message instanceof Stand m && m.round == round) {
       stand();
     } else if (message instanceof Granted m && m.round == round) {
@@ -195,6 +200,18 @@
     }
   }
 
+  /**
+   * A leader whose process has ended need not be waited for until its grant runs out. Should it
+   * live all the same, this costs an election and nothing else: terms and tokens keep order.
+   */
+  private void peerEnded(String peer) {
+    if (!leading
+        && leadEntry.map(e -> e.value().path("node").asText().equals(peer)).orElse(false)) {
+      log.info("event=leader_ended term={} host={}", knownTerm(), peer);
+      state.revoke(leadEntry.get().value().path("grant").asLong(), r -> {});
+    }
+  }
+
   private void planStand(Duration delay) {
     standing = true;
     int r = ++round;
--- a/src/main/java/io/pearscale/transport/Links.java
+++ b/src/main/java/io/pearscale/transport/Links.java
@@ -14,5 +14,8 @@
   interface Receiver {
     /** A whole record came in from the named peer. */
     void received(String peer, byte[] frame);
+
+    /** The peer closed its link and refuses new ones: its process has probably ended. */
+    void ended(String peer);
   }
 }
--- a/src/main/java/io/pearscale/transport/PeerLinks.java
+++ b/src/main/java/io/pearscale/transport/PeerLinks.java
@@ -1,6 +1,7 @@
 package io.pearscale.transport;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -53,6 +54,7 @@
     final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
     int queued;
     Instant heard = Instant.MIN;
+    boolean wasUp;
 
     Peer(String name, InetSocketAddress address) {
       this.name = name;
@@ -153,6 +155,12 @@
                       opened(p, f.get());
                       return;
                     }
+                    if (f.getStatus() == IoFuture.Status.FAILED
+                        && f.getException() instanceof ConnectException
+                        && p.wasUp) {
+                      p.wasUp = false;
+                      receiver.ended(p.name);
+                    }
                   } catch (IOException e) {
                     LOG.debug("event=peer_dial_failed peer={} reason={}", p.name, e.getMessage());
                   }
@@ -163,6 +171,7 @@
 
   private void opened(Peer p, StreamConnection c) {
     p.out = c;
+    p.wasUp = true;
     p.queue.clear();
     p.queued = 0;
     c.getCloseSetter().set(x -> loop.execute(() -> drop(p, c)));
@@ -188,7 +197,8 @@
     if (p.out == c) {
       p.out = null;
       LOG.info("event=peer_link_down peer={}", p.name);
-      loop.after(RETRY, () -> dial(p));
+      // At once: a refusal tells an ended process from a broken link.
+      loop.after(Duration.ofMillis(20), () -> dial(p));
     }
     IoUtils.safeClose(c);
   }
--- a/src/test/java/io/pearscale/sim/SimNode.java
+++ b/src/test/java/io/pearscale/sim/SimNode.java
@@ -137,6 +137,19 @@
     life++;
     controller = null;
     world.note(name + " crashes");
+    // Its sockets close; a peer that dials again is refused.
+    for (SimNode n : world.nodes.values()) {
+      if (n != this) {
+        world.carry(
+            name,
+            n.name,
+            () -> {
+              if (n.controller != null && controller == null) {
+                n.controller.peerEnded(name);
+              }
+            });
+      }
+    }
   }
 
   /** Hands a peer record in, as if it came over the link. */
