--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -4,6 +4,7 @@
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.Settings.Team;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -68,6 +69,9 @@
     double gpus;
   }
 
+  /** A replica that has run for less is not moved: its start would have been in vain. */
+  private static final Duration SETTLED = Duration.ofSeconds(40);
+
   private final Tuning tuning;
   private final RandomGenerator random;
   private final Map<String, Team> teams;
@@ -170,6 +174,9 @@
       return Optional.empty();
     }
     Optional<Choice> byEviction = evict(job);
+    if (byEviction.isEmpty()) {
+      byEviction = makeWay(job);
+    }
     if (byEviction.isEmpty()) {
       // Like tasks are decided as a class: what found nobody to evict need not look again.
       v.noVictims = !job.spec.spread() && !job.spec.oneZone();
@@ -310,6 +317,62 @@
     return Optional.of(best);
   }
 
+  /**
+   * Moves one replica of equal priority out of the way, when it has a place to go that already has
+   * its image: a job that must spread can't go anywhere else, while the replica that fills its zone
+   * often can. The move costs a moment of one replica, waiting would cost the whole time.
+   */
+  private Optional<Choice> makeWay(Job job) {
+    if (!job.spec.service()) {
+      return Optional.empty();
+    }
+    for (Machine m : shuffled()) {
+      if (!job.spec.allows(m.type, m.zone, m.spot) || !allowedNow(job, m)) {
+        continue;
+      }
+      for (Placement p : m.placements.values()) {
+        if (movable(job, p) && hasOtherPlace(p)) {
+          room(m).give(p.job);
+          book(job, m);
+          return Optional.of(new Choice(m, List.of(p)));
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
+  private boolean movable(Job job, Placement p) {
+    JobSpec v = p.job.spec;
+    Room r = room(p.machine);
+    Room trial = new Room(r.cpus, r.gpus, r.memoryGb);
+    trial.give(p.job);
+    return !p.doomed
+        && p.stage == Placement.Stage.RUNNING
+        && v.service()
+        && !v.oneZone()
+        && v.priority() == job.spec.priority()
+        && v.team().equals(job.spec.team())
+        && p.since.isBefore(now.minus(SETTLED))
+        && trial.fits(job);
+  }
+
+  private boolean hasOtherPlace(Placement p) {
+    JobSpec v = p.job.spec;
+    for (Machine m : machines) {
+      boolean zoneFree =
+          m.zone.equals(p.machine.zone) || !v.spread() || p.job.inZone(m.zone) < v.perZone();
+      if (m != p.machine
+          && zoneFree
+          && v.allows(m.type, m.zone, m.spot)
+          && m.images.containsKey(v.image())
+          && room(m).fits(p.job)) {
+        room(m).take(p.job);
+        return true;
+      }
+    }
+    return false;
+  }
+
   private static boolean better(List<Placement> victims, Machine m, Choice best, Job job) {
     Priority a = highest(victims);
     Priority b = highest(best.victims());
