--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -70,7 +70,7 @@
   }
 
   /** A replica that has run for less is not moved: its start would have been in vain. */
-  private static final Duration SETTLED = Duration.ofSeconds(40);
+  static final Duration SETTLED = Duration.ofSeconds(40);
 
   private final Tuning tuning;
   private final RandomGenerator random;
@@ -357,15 +357,8 @@
   }
 
   private boolean hasOtherPlace(Placement p) {
-    JobSpec v = p.job.spec;
     for (Machine m : machines) {
-      boolean zoneFree =
-          m.zone.equals(p.machine.zone) || !v.spread() || p.job.inZone(m.zone) < v.perZone();
-      if (m != p.machine
-          && zoneFree
-          && v.allows(m.type, m.zone, m.spot)
-          && m.images.containsKey(v.image())
-          && room(m).fits(p.job)) {
+      if (mayMoveTo(p, m) && room(m).fits(p.job)) {
         room(m).take(p.job);
         return true;
       }
@@ -373,6 +366,18 @@
     return false;
   }
 
+  /** Whether a replica could run on another machine without waiting for its image. */
+  static boolean mayMoveTo(Placement p, Machine m) {
+    JobSpec v = p.job.spec;
+    boolean zoneFree =
+        m.zone.equals(p.machine.zone)
+            || (!v.oneZone() && (!v.spread() || p.job.inZone(m.zone) < v.perZone()));
+    return m != p.machine
+        && zoneFree
+        && v.allows(m.type, m.zone, m.spot)
+        && m.images.containsKey(v.image());
+  }
+
   private static boolean better(List<Placement> victims, Machine m, Choice best, Job job) {
     Priority a = highest(victims);
     Priority b = highest(best.victims());
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -70,6 +70,7 @@
   private static final int BODY_LIMIT = 40 * 1024;
   private static final Duration REPEAT = Duration.ofSeconds(2);
   private static final Duration DIRECT_PAUSE = Duration.ofSeconds(3);
+  private static final Duration MOVE_SPACING = Duration.ofSeconds(3);
 
   /** What the actor understands. */
   public sealed interface Message {}
@@ -160,6 +161,7 @@
   private Instant nextRent = Instant.MIN;
   private Instant nextCounts = Instant.MIN;
   private Instant nextFigures = Instant.MIN;
+  private Instant nextMove = Instant.MIN;
   private boolean settledLogged;
   private final Map<String, Job> samples = new HashMap<>();
   private final Map<String, ArrayDeque<Integer>> sizes = new HashMap<>();
@@ -1693,53 +1695,116 @@
     if (jobs.values().stream().anyMatch(j -> !j.unknown.isEmpty())) {
       return;
     }
-    List<Machine> candidates = new ArrayList<>();
+    List<Machine> candidates = new ArrayList<>(usable);
     double free = 0;
     double used = 0;
     for (Machine m : usable) {
       double mine = m.type.cpus() - m.room().cpus;
       used += mine;
       free += m.type.cpus() - mine;
-      if (m.placements.values().stream().noneMatch(p -> p.job.spec.service())) {
-        candidates.add(m);
-      }
     }
+    // Without replicas first, since those have to be moved; then the dearest and the emptiest.
     candidates.sort(
-        Comparator.comparing((Machine m) -> -m.type.price(m.spot) / Math.max(1e-9, m.type.cpus()))
+        Comparator.comparing(SchedulerActor::replicas)
+            .thenComparing(m -> -m.type.price(m.spot) / Math.max(1e-9, m.type.cpus()))
             .thenComparing(m -> m.type.cpus() - m.room().cpus)
             .thenComparing(m -> m.name));
-    double reserve = tuning.spareShare() * used;
     Map<String, Integer> places = new HashMap<>();
     for (String c : sizes.keySet()) {
       for (Machine m : usable) {
         places.merge(c, placesFor(c, m), Integer::sum);
       }
     }
+    double reserve = tuning.spareShare() * used;
     List<Machine> rest = new ArrayList<>(usable);
     boolean waiting = jobs.values().stream().anyMatch(j -> j.pending() > 0);
+    boolean emptied = false;
+    // What no machine here can give, in a zone that is full, must not keep all others.
+    int lacking = lacking(usable);
     for (Machine m : candidates) {
-      double mine = m.type.cpus() - m.room().cpus;
-      double after = free - (m.type.cpus() - mine) - mine;
+      double after = free - m.type.cpus();
       rest.remove(m);
-      boolean room = after >= reserve && headroom(rest).isEmpty();
+      boolean room = !waiting && after >= reserve && lacking(rest) <= lacking;
       for (String c : sizes.keySet()) {
         int lost = placesFor(c, m);
         room &= lost == 0 || places.get(c) - lost >= largeJob(c);
       }
-      if (!waiting && room) {
-        free = after;
-        sizes.keySet().forEach(c -> places.merge(c, -placesFor(c, m), Integer::sum));
-        if (m.spareSince.equals(Instant.MAX)) {
-          m.spareSince = now;
-        }
-        if (m.placements.isEmpty()
-            && now.isAfter(m.spareSince.plus(tuning.idleRelease()))
-            && now.isAfter(m.rented.plusSeconds(60))) {
-          retire(m, "spare");
-        }
-      } else {
+      int replicas = replicas(m);
+      if (room && replicas > 0) {
+        room = !emptied && replicasFitInto(m, rest, now);
+        emptied = true;
+      }
+      if (!room) {
         rest.add(m);
         m.spareSince = Instant.MAX;
+        continue;
+      }
+      free = after;
+      sizes.keySet().forEach(c -> places.merge(c, -placesFor(c, m), Integer::sum));
+      if (m.spareSince.equals(Instant.MAX)) {
+        m.spareSince = now;
+      }
+      boolean due = now.isAfter(m.spareSince.plus(tuning.idleRelease()));
+      if (due && replicas > 0) {
+        moveOne(m, now);
+      } else if (due && m.placements.isEmpty() && now.isAfter(m.rented.plusSeconds(60))) {
+        retire(m, "spare");
+      }
+    }
+  }
+
+  private int lacking(List<Machine> usable) {
+    return headroom(usable).stream().mapToInt(Renter.Demand::tasks).sum();
+  }
+
+  private static int replicas(Machine m) {
+    int n = 0;
+    for (Placement p : m.placements.values()) {
+      if (p.job.spec.service()) {
+        n++;
+      }
+    }
+    return n;
+  }
+
+  /** Whether each replica of the machine could go to one of the others that has its image. */
+  private static boolean replicasFitInto(Machine m, List<Machine> others, Instant now) {
+    Map<Machine, Machine.Room> rooms = new HashMap<>();
+    for (Placement p : m.placements.values()) {
+      if (!p.job.spec.service()) {
+        continue;
+      }
+      if (p.stage != Stage.RUNNING || p.since.isAfter(now.minus(Placer.SETTLED))) {
+        return false;
+      }
+      boolean placed = false;
+      for (Machine o : others) {
+        if (Placer.mayMoveTo(p, o) && rooms.computeIfAbsent(o, Machine::room).fits(p.job)) {
+          rooms.get(o).take(p.job);
+          placed = true;
+          break;
+        }
+      }
+      if (!placed) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Moves a replica off a machine that is to be given back, one at a time and not too fast. */
+  private void moveOne(Machine m, Instant now) {
+    if (now.isBefore(nextMove)) {
+      return;
+    }
+    for (Placement p : m.placements.values()) {
+      if (p.job.spec.service() && !p.doomed) {
+        nextMove = now.plus(MOVE_SPACING);
+        log.info(
+            "event=move term={} machine={} task={} attempt={}", term, m.name, p.task, p.attempt);
+        doom(p);
+        kick(m);
+        return;
       }
     }
   }
