--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -1,6 +1,7 @@
 package io.pearscale.bookkeeping;
 
 import io.pearscale.bookkeeping.Machine.Room;
+import io.pearscale.protocol.Fields;
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.Settings.Team;
@@ -241,7 +242,7 @@
         + tuning.sameMachineWeight() * onMachine / Math.max(1, s.tasks())
         + tuning.sameZoneWeight() * inZone / Math.max(1, s.tasks())
         + tuning.zoneBalanceWeight() * crowding(job, m.zone)
-        - (m.images.containsKey(s.image()) ? tuning.imageWeight() : 0)
+        - (m.images.containsKey(s.image()) ? tuning.imageWeight() * fetchShare(job, m) : 0)
         + (s.spot() && !m.spot ? tuning.ordinaryWeight() : 0)
         // A machine that just missed a direct command gets its starts by report only, which is
         // slow.
@@ -262,6 +263,17 @@
     return most == 0 ? 0 : 1 - free.getOrDefault(zone, 0) / (double) most;
   }
 
+  /**
+   * How much of a task's time a fetch of its image would take: little for a long run, most of it
+   * for a start that is expected at once. So a cached image doesn't break up whole machines in
+   * vain.
+   */
+  private static double fetchShare(Job job, Machine m) {
+    double fetch = job.spec.imageGb() / Math.max(1e-3, m.type.fetchGbPerSecond());
+    double run = job.spec.service() ? 1 : Fields.seconds(job.spec.estimate());
+    return fetch / Math.max(1e-3, fetch + run);
+  }
+
   private Map<String, Integer> roomByZone(Job job) {
     Map<String, Integer> free = new HashMap<>();
     for (Machine m : machines) {
