Give machines their type when the catalogue comes, and stop others only when pressed

Ruled out: ghost placements and faulty machines, by stages and counts that the figures event now shows. With it: batch work stops others only when its deadline is at risk, and victims of classes that must start at once don't save first.

--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -26,7 +26,10 @@
   final String name;
   final String zone;
   final boolean spot;
-  final MachineType type;
+
+  /** As the catalogue has it; without any room until the catalogue is known. */
+  MachineType type;
+
   Life life;
   String address;
   Instant rented;
@@ -200,7 +203,7 @@
 
   /** The kill command for a placement; a second one no longer waits for saving. */
   static Order kill(Placement p) {
-    boolean saves = p.job.spec.checkpoint().toNanos() > 0 && p.kills == 0;
+    boolean saves = !p.hurried && p.job.spec.checkpoint().toNanos() > 0 && p.kills == 0;
     return Order.kill(
         p.task, p.attempt, saves ? p.job.spec.save().plusSeconds(2) : java.time.Duration.ZERO);
   }
--- a/src/main/java/io/pearscale/bookkeeping/Placement.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placement.java
@@ -32,6 +32,9 @@
   /** To be stopped. */
   boolean doomed;
 
+  /** To be stopped without saving: what is to start instead can't wait for that. */
+  boolean hurried;
+
   Instant killSent = Instant.MIN;
   int kills;
   Instant since;
--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -133,7 +133,7 @@
   }
 
   /** Finds a machine for one more task of the job and books the room. */
-  Optional<Choice> place(Job job) {
+  Optional<Choice> place(Job job, boolean mayStopOthers) {
     if (!withinLimit(job.spec)) {
       return Optional.empty();
     }
@@ -171,7 +171,7 @@
       book(job, best);
       return Optional.of(new Choice(best, List.of()));
     }
-    if (v.noVictims) {
+    if (v.noVictims || !mayStopOthers) {
       return Optional.empty();
     }
     Optional<Choice> byEviction = evict(job);
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -35,6 +35,7 @@
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -70,6 +71,7 @@
   private static final int BODY_LIMIT = 40 * 1024;
   private static final Duration REPEAT = Duration.ofSeconds(2);
   private static final Duration DIRECT_PAUSE = Duration.ofSeconds(3);
+  private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(6);
   private static final Duration MOVE_SPACING = Duration.ofSeconds(3);
 
   /** What the actor understands. */
@@ -286,6 +288,10 @@
     if (!list.isEmpty()) {
       types.clear();
       list.forEach(t -> types.put(t.name(), t));
+      // A worker may have reported before the catalogue was known.
+      for (Machine m : machines.values()) {
+        m.type = types.getOrDefault(m.type.name(), m.type);
+      }
     }
   }
 
@@ -823,6 +829,25 @@
     return result;
   }
 
+  /** Whether the class is expected to start within a time that leaves none for others to save. */
+  private boolean startsAtOnce(JobSpec spec) {
+    return settings.objectives().stream()
+        .anyMatch(o -> o.kind().equals("wait") && o.jobClass().equals(spec.jobClass()));
+  }
+
+  /**
+   * Whether the job can't wait for room to become free by itself. Work with a deadline stops others
+   * only when waiting longer would put the deadline at risk, since what it stops is done again.
+   */
+  private boolean pressing(Job j, Instant now) {
+    if (j.spec.service() || j.spec.deadline().isEmpty()) {
+      return true;
+    }
+    // Estimates are often wrong by half, and an image may have to be fetched first.
+    Duration need = j.spec.estimate().multipliedBy(3).dividedBy(2).plus(FETCH_ALLOWANCE);
+    return now.plus(need).isAfter(j.submitted.plus(j.spec.deadline().get()));
+  }
+
   private void pass() {
     Instant now = now();
     long began = System.nanoTime();
@@ -846,8 +871,9 @@
   }
 
   private void place(Placer placer, Job j, Set<Machine> touched, Instant now) {
+    boolean pressing = pressing(j, now);
     for (int i = j.nextPending(0); i >= 0; i = j.nextPending(i + 1)) {
-      Optional<Placer.Choice> choice = placer.place(j);
+      Optional<Placer.Choice> choice = placer.place(j, pressing);
       if (choice.isEmpty()) {
         return;
       }
@@ -861,6 +887,7 @@
             victim.attempt,
             j.spec.id(),
             i);
+        victim.hurried = startsAtOnce(j.spec);
         doom(victim);
         touched.add(m);
       }
@@ -1381,16 +1408,7 @@
     }
     if (now.isAfter(nextFigures)) {
       nextFigures = now.plusSeconds(60);
-      log.info(
-          "event=figures term={} jobs={} machines={} start_ms_p50={} start_ms_p99={} pass_us_p50={}"
-              + " pass_us_p99={}",
-          term,
-          jobs.size(),
-          machines.size(),
-          startMillis.getValueAtPercentile(50),
-          startMillis.getValueAtPercentile(99),
-          passMicros.getValueAtPercentile(50),
-          passMicros.getValueAtPercentile(99));
+      figures(now);
       startMillis.reset();
       passMicros.reset();
     }
@@ -1399,6 +1417,46 @@
     }
   }
 
+  /** What an operator wants to see at a glance, once a minute. */
+  private void figures(Instant now) {
+    int usable = 0;
+    int faulty = 0;
+    int avoided = 0;
+    int[] stages = new int[Stage.values().length];
+    int doomed = 0;
+    double free = 0;
+    for (Machine m : machines.values()) {
+      if (placeable(m, now)) {
+        usable++;
+        free += m.room().cpus;
+      }
+      faulty += m.faulty ? 1 : 0;
+      avoided += now.isBefore(m.avoidUntil) ? 1 : 0;
+      for (Placement p : m.placements.values()) {
+        stages[p.stage.ordinal()]++;
+        doomed += p.doomed ? 1 : 0;
+      }
+    }
+    log.info(
+        "event=figures term={} jobs={} waiting_tasks={} machines={} usable={} faulty={} avoided={}"
+            + " free_cpus={} stages={} doomed={} start_ms_p50={} start_ms_p99={} pass_us_p50={}"
+            + " pass_us_p99={}",
+        term,
+        jobs.size(),
+        jobs.values().stream().mapToInt(Job::pending).sum(),
+        machines.size(),
+        usable,
+        faulty,
+        avoided,
+        free,
+        Arrays.toString(stages).replace(" ", ""),
+        doomed,
+        startMillis.getValueAtPercentile(50),
+        startMillis.getValueAtPercentile(99),
+        passMicros.getValueAtPercentile(50),
+        passMicros.getValueAtPercentile(99));
+  }
+
   /** Looks after one machine: silence, death, idling. */
   private void watch(Machine m, Instant now) {
     if (m.everReported && !m.lost && !m.renewed.equals(Instant.MIN) && leaseOver(m, now)) {
