--- /dev/null
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -0,0 +1,374 @@
+package io.pearscale.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.bookkeeping.SchedulerActor;
+import io.pearscale.bookkeeping.Tuning;
+import io.pearscale.protocol.JobSpec;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.protocol.Report;
+import io.pearscale.protocol.ReportAnswer;
+import io.pearscale.protocol.Settings;
+import io.pearscale.storage.ReplicaActor.Entry;
+import io.pearscale.storage.ReplicaActor.KeyChange;
+import io.pearscale.storage.StateClient;
+import io.pearscale.transport.Calls;
+import io.pearscale.transport.Loop;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.random.RandomGeneratorFactory;
+
+/**
+ * Plays a script against the leader's core alone: each message to it is written out, and so is what
+ * it must answer. For what can't be met by chance in a whole simulated world.
+ */
+final class LeaderScript implements Loop, Calls {
+  private record Pending(String path, JsonNode body, Consumer<Reply> answer) {}
+
+  private final World world = new World(1);
+  private final SchedulerActor core;
+  private final StateClient client;
+  private final Map<String, Pending> direct = new TreeMap<>();
+  private final List<Pending> heldCommits = new ArrayList<>();
+  private final Map<String, Long> attempts = new HashMap<>();
+  private final List<String> given = new ArrayList<>();
+  private final List<String> log = new ArrayList<>();
+  private final List<String> hires = new ArrayList<>();
+  private boolean holdCommits;
+  private long stamp;
+  private long term;
+  private final Map<String, Entry> keys = new LinkedHashMap<>();
+  private Optional<ReportAnswer> answer = Optional.empty();
+  private boolean higher;
+
+  private LeaderScript() {
+    world.nodes.put("hive-0", new SimNode(world, "hive-0"));
+    world.teams.add(new Settings.Team("t", 0, 0, 0, 0));
+    Settings settings = world.settings("hive-0");
+    client = new StateClient(this, this, settings);
+    core =
+        new SchedulerActor(
+            this,
+            client,
+            this,
+            settings,
+            Tuning.defaults(),
+            RandomGeneratorFactory.of("L64X128MixRandom").create(1),
+            () -> world.now,
+            t -> higher = true,
+            c -> {});
+  }
+
+  /** Plays the script; empty when all came as written. */
+  static Optional<String> play(String text) throws Malformed {
+    LeaderScript s = new LeaderScript();
+    int number = 0;
+    for (String line : text.split("\n")) {
+      number++;
+      String clean = line.replaceAll("#.*", "").strip();
+      if (clean.isEmpty()) {
+        continue;
+      }
+      Optional<String> wrong = s.line(Arrays.asList(clean.split("\\s+")));
+      if (wrong.isPresent()) {
+        return Optional.of(
+            "line " + number + ": " + clean + "\n" + wrong.get() + "\n" + String.join("\n", s.log));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Optional<String> line(List<String> w) throws Malformed {
+    switch (w.get(0)) {
+      case "type" -> world.cloud.types.put(w.get(1), Scenario.type(w.get(1), world.zones, w));
+      case "job" -> job(w);
+      case "drop" -> changed("c/live/" + w.get(1), Optional.empty());
+      case "progress" -> {
+        JsonNode v = World.map().put("o", w.get(2)).put("f", w.size() > 3 ? w.get(3) : "");
+        changed("c/run/" + w.get(1) + "/0", Optional.of(v));
+      }
+      case "host" ->
+          changed(
+              "c/host/" + w.get(1),
+              Optional.of(
+                  World.map()
+                      .put("stage", w.get(2))
+                      .put("address", w.get(1))
+                      .put("type", "small")
+                      .put("zone", "a")
+                      .put("spot", false)
+                      .put("session", 1)));
+      case "won" -> won(Long.parseLong(w.get(1)), w.contains("on-old-copy"));
+      case "caught-up" -> {
+        core.tell(new SchedulerActor.Changed(List.of(), stamp));
+        settle(Duration.ofMillis(100));
+      }
+      case "confirm" -> core.tell(new SchedulerActor.Confirmed(world.now));
+      case "wait" -> {
+        for (int i = 0; i < 20 * Double.parseDouble(w.get(1)); i++) {
+          if (!w.contains("unconfirmed")) {
+            core.tell(new SchedulerActor.Confirmed(world.now));
+          }
+          settle(Duration.ofMillis(50));
+        }
+      }
+      case "raise-term" -> {
+        ObjectNode body = World.map();
+        ObjectNode change = body.putArray("then").addObject().put("write", "c/term");
+        change.set("value", World.map().put("term", Long.parseLong(w.get(1))));
+        world.state.serve("x", "POST", "/commit", body, r -> {});
+      }
+      case "cancelled-unseen" -> {
+        ObjectNode body = World.map();
+        body.putArray("then").addObject().put("drop", "c/live/" + w.get(1));
+        world.state.serve("x", "POST", "/commit", body, r -> {});
+      }
+      case "hold-commits" -> holdCommits = true;
+      case "release-commits" -> {
+        holdCommits = false;
+        List<Pending> late = List.copyOf(heldCommits);
+        heldCommits.clear();
+        late.forEach(p -> world.state.serve("x", "POST", p.path, p.body, p.answer));
+        settle(Duration.ofMillis(200));
+      }
+      case "lose-commits" -> {
+        // No answer; the transactions come later, with release-commits.
+        heldCommits.replaceAll(
+            p -> {
+              p.answer.accept(Reply.NONE);
+              return new Pending(p.path, p.body, r -> {});
+            });
+        holdCommits = false;
+        settle(Duration.ofSeconds(2));
+      }
+      case "report" -> {
+        answer = Optional.empty();
+        core.tell(new SchedulerActor.Reported(report(w), a -> answer = Optional.of(a)));
+        settle(Duration.ofMillis(1));
+        answer.ifPresent(a -> a.orders().forEach(o -> note(o.toNode())));
+      }
+      case "reply" -> {
+        Pending p = direct.remove(w.get(1));
+        if (p == null) {
+          return Optional.of("nothing was sent to " + w.get(1));
+        }
+        p.answer.accept(
+            w.get(2).equals("none")
+                ? Reply.NONE
+                : new Reply(Integer.parseInt(w.get(2)), body(w.get(1), w.subList(3, w.size()))));
+        settle(Duration.ofMillis(60));
+      }
+      case "expect" -> {
+        return expect(w.subList(1, w.size()));
+      }
+      default -> throw new IllegalArgumentException("script: " + w);
+    }
+    return Optional.empty();
+  }
+
+  private void job(List<String> w) {
+    Map<String, String> o = new HashMap<>();
+    w.subList(3, w.size())
+        .forEach(x -> o.put(x.split("=")[0], x.contains("=") ? x.split("=")[1] : "true"));
+    JobSpec spec = Scenario.job(w.get(1), w.get(2).equals("service"), o);
+    ObjectNode v = World.map().put("at", world.now.toEpochMilli());
+    v.set("spec", spec.toNode());
+    changed("c/live/" + w.get(1), Optional.of(v));
+  }
+
+  private void changed(String key, Optional<JsonNode> value) {
+    ObjectNode body = World.map();
+    ObjectNode change = body.putArray("then").addObject();
+    if (value.isPresent()) {
+      change.put("write", key).set("value", value.get());
+    } else {
+      change.put("drop", key);
+    }
+    world.state.serve("x", "POST", "/commit", body, r -> {});
+    stamp = world.state.epoch();
+    Optional<Entry> entry = value.map(v -> new Entry(v, stamp));
+    entry.ifPresentOrElse(e -> keys.put(key, e), () -> keys.remove(key));
+    if (term > 0) {
+      core.tell(new SchedulerActor.Changed(List.of(new KeyChange(key, entry)), stamp));
+      settle(Duration.ofMillis(100));
+    }
+  }
+
+  private void won(long t, boolean old) {
+    term = t;
+    ObjectNode types = World.map();
+    var list = types.putArray("breeds");
+    world.cloud.types.values().forEach(x -> list.add(x.toNode()));
+    keys.put("c/catalogue", new Entry(types, 1));
+    changedTerm();
+    core.tell(new SchedulerActor.Loaded(new TreeMap<>(keys), old ? 1 : stamp));
+    core.tell(new SchedulerActor.Won(t, world.state.stampOf("c/term"), world.now));
+    settle(Duration.ofMillis(5));
+  }
+
+  private void changedTerm() {
+    ObjectNode body = World.map();
+    body.putArray("then")
+        .addObject()
+        .put("write", "c/term")
+        .set("value", World.map().put("term", term));
+    world.state.serve("x", "POST", "/commit", body, r -> {});
+    stamp = world.state.epoch();
+  }
+
+  private Report report(List<String> w) throws Malformed {
+    return Report.parse(body(w.get(1), w.subList(2, w.size())));
+  }
+
+  /** Words: session sequence token, then tasks like wk-1/0:running or wk-1/0:ended:done. */
+  private ObjectNode body(String machine, List<String> w) {
+    long current = (term << 24) + 1;
+    long token =
+        w.get(2).startsWith("current")
+            ? current + Long.parseLong("0" + w.get(2).substring(7).replace("+", ""))
+            : Long.parseLong(w.get(2));
+    ObjectNode n =
+        World.map()
+            .put("hive", machine)
+            .put("address", machine)
+            .put("breed", "small")
+            .put("yard", "a")
+            .put("windfall", false)
+            .put("stint", Long.parseLong(w.get(0)))
+            .put("tally", Long.parseLong(w.get(1)))
+            .put("baton", token);
+    var list = n.putArray("pieces");
+    for (String t : w.subList(3, w.size())) {
+      String[] parts = t.split(":");
+      ObjectNode p = list.addObject().put("piece", parts[0]).put("stage", parts[1]);
+      p.put("try", attempts.getOrDefault(parts[0], 7L));
+      if (parts.length > 2) {
+        p.put("cause", parts[2]);
+      }
+    }
+    return n;
+  }
+
+  private void note(JsonNode order) {
+    if (order.path("verb").asText().equals("run")) {
+      given.add(order.path("piece").asText() + ":" + order.path("try").asLong());
+      attempts.put(order.path("piece").asText(), order.path("try").asLong());
+    }
+  }
+
+  private static TreeSet<String> names(JsonNode orders) {
+    TreeSet<String> set = new TreeSet<>();
+    orders.forEach(o -> set.add(o.path("verb").asText() + ":" + o.path("piece").asText()));
+    return set;
+  }
+
+  private Optional<String> expect(List<String> w) {
+    switch (w.get(0)) {
+      case "answer" -> {
+        if (answer.isEmpty() || answer.get().status() != Integer.parseInt(w.get(1))) {
+          return Optional.of("answered " + answer);
+        }
+        TreeSet<String> got = new TreeSet<>();
+        answer
+            .get()
+            .orders()
+            .forEach(o -> got.addAll(names(World.map().putArray("x").add(o.toNode()))));
+        TreeSet<String> want = new TreeSet<>(w.subList(2, w.size()));
+        return got.equals(want) ? Optional.empty() : Optional.of("orders " + got);
+      }
+      case "do" -> {
+        Pending p = direct.get(w.get(1));
+        TreeSet<String> got = p == null ? new TreeSet<>() : names(p.body.path("orders"));
+        TreeSet<String> want = new TreeSet<>(w.subList(2, w.size()));
+        return got.equals(want) ? Optional.empty() : Optional.of("sent " + got);
+      }
+      case "token" -> {
+        long got = answer.map(ReportAnswer::token).orElse(-1L) - (term << 24) - 1;
+        return got == Long.parseLong(w.get(1)) ? Optional.empty() : Optional.of("token +" + got);
+      }
+      case "stored" -> {
+        boolean has = world.state.holds(w.get(1), w.size() > 2 ? w.get(2) : "");
+        return has ? Optional.empty() : Optional.of("stored " + world.state.show(w.get(1)));
+      }
+      case "not-stored" -> {
+        return world.state.holds(w.get(1), "") ? Optional.of("is stored") : Optional.empty();
+      }
+      case "started" -> {
+        return given.stream().anyMatch(g -> g.startsWith(w.get(1) + ":"))
+            ? Optional.empty()
+            : Optional.of("never started");
+      }
+      case "attempts-unique" -> {
+        return given.size() == new TreeSet<>(given).size()
+            ? Optional.empty()
+            : Optional.of("attempts " + given);
+      }
+      case "not-stored-host" -> {
+        return world.state.holds("c/host/" + w.get(1), "")
+            ? Optional.of("is stored")
+            : Optional.empty();
+      }
+      case "higher-term" -> {
+        return higher ? Optional.empty() : Optional.of("not noticed");
+      }
+      default -> throw new IllegalArgumentException("script: " + w);
+    }
+  }
+
+  private void settle(Duration d) {
+    world.playTo(world.passed().plus(d));
+  }
+
+  // ---- The seams ----
+
+  @Override
+  public void execute(Runnable task) {
+    world.after(Duration.ZERO, task);
+  }
+
+  @Override
+  public void after(Duration delay, Runnable task) {
+    world.after(delay, task);
+  }
+
+  @Override
+  public InstantSource clock() {
+    return () -> world.now;
+  }
+
+  @Override
+  public void call(
+      String address,
+      String method,
+      String path,
+      JsonNode body,
+      Duration timeout,
+      Consumer<Reply> to) {
+    log.add(world.passed() + " " + address + " " + path + " " + body);
+    if (address.equals("state")) {
+      if (path.equals("/commit") && holdCommits) {
+        heldCommits.add(new Pending(path, body, to));
+      } else {
+        world.state.serve("x", method, path, body, to);
+      }
+    } else if (address.equals("cloud")) {
+      if (path.equals("/hosts")) {
+        hires.add(body.path("hire").asText());
+      }
+      world.cloud.serve(method, path, body, to);
+    } else {
+      body.path("orders").forEach(this::note);
+      direct.put(address, new Pending(path, body, to));
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/LeaderScriptTest.java
@@ -0,0 +1,31 @@
+package io.pearscale.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/** Plays each script under {@code src/test/resources/leader}. */
+class LeaderScriptTest {
+  @TestFactory
+  Stream<DynamicTest> scripts() throws IOException {
+    List<Path> files;
+    try (Stream<Path> found = Files.list(Path.of("src/test/resources/leader"))) {
+      files = found.sorted().toList();
+    }
+    assertTrue(files.size() > 5, "scripts are missing");
+    return files.stream()
+        .map(
+            p ->
+                DynamicTest.dynamicTest(
+                    p.getFileName().toString(),
+                    () -> assertEquals(Optional.empty(), LeaderScript.play(Files.readString(p)))));
+  }
+}
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -103,7 +103,15 @@
     }
   }
 
+  static MachineType type(String name, List<String> zones, List<String> words) {
+    return type(name, zones, options(words));
+  }
+
   private MachineType type(String name, Map<String, String> o) {
+    return type(name, world.zones, o);
+  }
+
+  private static MachineType type(String name, List<String> zones, Map<String, String> o) {
     return new MachineType(
         name,
         number(o, "cpus", 8),
@@ -114,7 +122,7 @@
         number(o, "price", 1),
         number(o, "spot", 0.4),
         seconds(o.getOrDefault("boot", "5")),
-        world.zones);
+        zones);
   }
 
   static JobSpec job(String id, boolean service, Map<String, String> o) {
--- a/src/test/java/io/pearscale/sim/SimState.java
+++ b/src/test/java/io/pearscale/sim/SimState.java
@@ -253,6 +253,23 @@
     }
   }
 
+  long epoch() {
+    return epoch;
+  }
+
+  long stampOf(String key) {
+    return pairs.containsKey(key) ? pairs.get(key).stamp : 0;
+  }
+
+  /** Whether a key is there and its value, as text, holds the given one. */
+  boolean holds(String key, String text) {
+    return pairs.containsKey(key) && show(key).contains(text);
+  }
+
+  String show(String key) {
+    return pairs.containsKey(key) ? pairs.get(key).value.toString() : "nothing";
+  }
+
   Optional<String> leader() {
     return Optional.ofNullable(pairs.get("c/lead")).map(p -> p.value.path("node").asText());
   }
