--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -54,6 +54,7 @@
   private LeaderScript() {
     world.nodes.put("hive-0", new SimNode(world, "hive-0"));
     world.teams.add(new Settings.Team("t", 0, 0, 0, 0));
+    world.teams.add(new Settings.Team("q", 0, 2, 0, 0));
     Settings settings = world.settings("hive-0");
     client = new StateClient(this, this, settings);
     core =
@@ -105,7 +106,7 @@
                       .put("stage", w.get(2))
                       .put("address", w.get(1))
                       .put("type", "small")
-                      .put("zone", "a")
+                      .put("zone", zone(w.get(1)))
                       .put("spot", false)
                       .put("session", 1)));
       case "won" -> won(Long.parseLong(w.get(1)), w.contains("on-old-copy"));
@@ -176,6 +177,10 @@
     return Optional.empty();
   }
 
+  private static String zone(String machine) {
+    return machine.startsWith("b") ? "b" : "a";
+  }
+
   private void job(List<String> w) {
     Map<String, String> o = new HashMap<>();
     w.subList(3, w.size())
@@ -242,7 +247,7 @@
             .put("hive", machine)
             .put("address", machine)
             .put("breed", "small")
-            .put("yard", "a")
+            .put("yard", zone(machine))
             .put("windfall", false)
             .put("stint", Long.parseLong(w.get(0)))
             .put("tally", Long.parseLong(w.get(1)))
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -151,7 +151,7 @@
 
   /** The current leader, as the state service has it. */
   private String name(String word) {
-    if (word.equals("leader") || word.equals("follower")) {
+    if (word.equals("leader") || word.startsWith("follower")) {
       String leader =
           world
               .state
@@ -159,7 +159,11 @@
               .orElseThrow(() -> new IllegalStateException("scenario: nobody leads"));
       return word.equals("leader")
           ? leader
-          : world.nodes.keySet().stream().filter(n -> !n.equals(leader)).findFirst().get();
+          : world.nodes.keySet().stream()
+              .filter(n -> !n.equals(leader))
+              .skip(word.equals("follower2") ? 1 : 0)
+              .findFirst()
+              .get();
     }
     if (word.startsWith("host:")) {
       return world.present.stream()
@@ -254,6 +258,8 @@
       good = world.cloud.rentals <= Integer.parseInt(w.get(2));
     } else if (w.get(0).equals("leader")) {
       good = world.state.leader().isPresent();
+    } else if (w.get(0).equals("gone")) {
+      good = world.workers.get(w.get(1)).isDead();
     } else if (w.get(0).equals("starts")) {
       good = world.starts.getOrDefault(w.get(1), 0) <= Integer.parseInt(w.get(3));
     } else {
