--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -261,7 +261,9 @@
     } else if (w.get(0).equals("gone")) {
       good = world.workers.get(w.get(1)).isDead();
     } else if (w.get(0).equals("starts")) {
-      good = world.starts.getOrDefault(w.get(1), 0) <= Integer.parseInt(w.get(3));
+      int starts = world.starts.getOrDefault(w.get(1), 0);
+      int bound = Integer.parseInt(w.get(3));
+      good = w.get(2).equals("<=") ? starts <= bound : starts >= bound;
     } else {
       SimUser u = world.users.get(w.get(0));
       good = u != null && test.test(u);
