Be healthy while loading, and let a silent leader's grant run out sooner

Cause: after a restart the balancer takes a node back only after two good probes, and these began when the copy was loaded; and a leader that is cut off, not ended, was waited for 3 s.

--- a/src/main/java/io/pearscale/bookkeeping/Controller.java
+++ b/src/main/java/io/pearscale/bookkeeping/Controller.java
@@ -37,6 +37,7 @@
 public final class Controller {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final Duration HEARTBEAT = Duration.ofMillis(700);
+  private static final Duration STARTING = Duration.ofSeconds(5);
   private static final Duration STORE_SILENT = Duration.ofMillis(4500);
 
   private record PeerState(Instant heard, boolean storeOk) {}
@@ -54,6 +55,7 @@
   private long term;
   private Optional<String> leader = Optional.empty();
   private boolean loaded;
+  private Instant started = Instant.EPOCH;
 
   /** Wires a controller; {@link #start} sets it going. */
   public Controller(
@@ -146,6 +148,7 @@
 
   /** Begins to work. */
   public void start() {
+    started = loop.clock().instant();
     replica.tell(new ReplicaActor.Start());
     heartbeat();
   }
@@ -200,7 +203,9 @@
    */
   private boolean useful() {
     if (!loaded) {
-      return false;
+      // Loading takes a moment, the balancer's return to a node takes seconds: let both run at
+      // once.
+      return Duration.between(started, loop.clock().instant()).compareTo(STARTING) < 0;
     }
     if (storeOk()) {
       return true;
--- a/src/main/java/io/pearscale/coordination/ElectionActor.java
+++ b/src/main/java/io/pearscale/coordination/ElectionActor.java
@@ -29,8 +29,8 @@
  * good renewal was <em>sent</em>.
  */
 public final class ElectionActor extends Actor<ElectionActor.Message> {
-  private static final Duration TTL = Duration.ofMillis(3000);
-  private static final Duration RENEW = Duration.ofMillis(700);
+  private static final Duration TTL = Duration.ofMillis(2200);
+  private static final Duration RENEW = Duration.ofMillis(550);
 
   /** What the actor understands. */
   public sealed interface Message {}
