--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -700,7 +700,7 @@
       Duration remaining = running ? s.estimate().minus(ran) : s.estimate();
       if (saves ? left.compareTo(s.save().plusSeconds(4)) < 0 || !running : false) {
         doom(p);
-      } else if (s.service() || (!saves && remaining.compareTo(left) > 0)) {
+      } else if (s.service() || (!saves && remaining.compareTo(left.multipliedBy(2)) > 0)) {
         doom(p);
       }
     }
