--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -15,7 +15,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -71,9 +70,6 @@
     double gpus;
   }
 
-  /** A task that has run for less loses little when it is stopped. */
-  private static final Duration FRESH = Duration.ofSeconds(3);
-
   /** A replica that has run for less is not moved: its start would have been in vain. */
   static final Duration SETTLED = Duration.ofSeconds(40);
 
@@ -137,7 +133,7 @@
   }
 
   /** Finds a machine for one more task of the job and books the room. */
-  Optional<Choice> place(Job job, boolean mayStopOthers, boolean atOnce) {
+  Optional<Choice> place(Job job, boolean mayStopOthers) {
     if (!withinLimit(job.spec)) {
       return Optional.empty();
     }
@@ -172,20 +168,13 @@
       }
     }
     if (best != null) {
-      if (atOnce && !best.images.containsKey(job.spec.image())) {
-        Optional<Choice> sooner =
-            evict(job, p -> p.machine.images.containsKey(job.spec.image()) && fresh(p));
-        if (sooner.isPresent()) {
-          return sooner;
-        }
-      }
       book(job, best);
       return Optional.of(new Choice(best, List.of()));
     }
     if (v.noVictims || !mayStopOthers) {
       return Optional.empty();
     }
-    Optional<Choice> byEviction = evict(job, p -> true);
+    Optional<Choice> byEviction = evict(job);
     if (byEviction.isEmpty()) {
       byEviction = makeWay(job);
     }
@@ -295,7 +284,7 @@
     return free;
   }
 
-  private Optional<Choice> evict(Job job, Predicate<Placement> among) {
+  private Optional<Choice> evict(Job job) {
     boolean guaranteed = !beyondGuarantee(job.spec.team(), job.spec.cpus(), job.spec.gpus());
     Choice best = null;
     List<Machine> order = shuffled();
@@ -305,7 +294,7 @@
       }
       List<Placement> candidates = new ArrayList<>();
       for (Placement p : m.placements.values()) {
-        if (!p.doomed && among.test(p) && mayEvict(job, p, guaranteed)) {
+        if (!p.doomed && mayEvict(job, p, guaranteed)) {
           candidates.add(p);
         }
       }
@@ -364,11 +353,6 @@
     return Optional.empty();
   }
 
-  /** Whether next to nothing is lost by stopping a task: it has hardly begun. */
-  private boolean fresh(Placement p) {
-    return p.stage != Placement.Stage.RUNNING || p.since.isAfter(now.minus(FRESH));
-  }
-
   private boolean movable(Job job, Placement p) {
     JobSpec v = p.job.spec;
     Room r = room(p.machine);
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -873,7 +873,7 @@
   private void place(Placer placer, Job j, Set<Machine> touched, Instant now) {
     boolean pressing = pressing(j, now);
     for (int i = j.nextPending(0); i >= 0; i = j.nextPending(i + 1)) {
-      Optional<Placer.Choice> choice = placer.place(j, pressing, startsAtOnce(j.spec));
+      Optional<Placer.Choice> choice = placer.place(j, pressing);
       if (choice.isEmpty()) {
         return;
       }
