Replace replicas of silent machines shortly before their lease would end

Cause: a replica on a machine that is cut off counts as up until its lease ends, so deleting the machine after 8 s took it away early, for good when the cut was a short one. Machines with replicas are now deleted after 0.7 of a lease, others as soon as two quick probes fail.

--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -65,6 +65,7 @@
 public final class SchedulerActor extends Actor<SchedulerActor.Message> {
   private static final int TERM_SHIFT = 24;
   private static final Duration DO_TIMEOUT = Duration.ofMillis(1500);
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1000);
   private static final Duration TICK = Duration.ofMillis(250);
   private static final Duration PASS_SPACING = Duration.ofMillis(30);
   private static final Duration COMMIT_SPACING = Duration.ofMillis(60);
@@ -1053,7 +1054,7 @@
         "POST",
         "/do",
         body,
-        DO_TIMEOUT,
+        orders.isEmpty() ? PROBE_TIMEOUT : DO_TIMEOUT,
         reply -> tell(new Done(t, m, token, orders, reply)));
   }
 
@@ -1092,7 +1093,7 @@
     }
     if (d.orders.isEmpty()) {
       m.missedProbes++;
-      m.directAfter = now().plusMillis(500);
+      m.directAfter = now().plusMillis(100);
       return;
     }
     // It may have been executed, or be executed later: a higher token puts an end to that.
@@ -1481,7 +1482,8 @@
     Instant spoke = m.heard.isAfter(wonAt) ? m.heard : wonAt;
     Duration silence = Duration.between(spoke, now);
     Duration report = settings.workers().report();
-    boolean quiet = silence.compareTo(report.multipliedBy(3).dividedBy(2)) > 0;
+    // Reports come a quarter early or late; what is later than that is asked for.
+    boolean quiet = silence.compareTo(report.multipliedBy(13).dividedBy(10)) > 0;
     if (m.life == Life.UP
         && m.everReported
         && !m.lost
@@ -1490,11 +1492,17 @@
         && now.isAfter(m.directAfter)) {
       probe(m);
     }
+    // Replicas on a machine that is merely cut off still count and may serve; they are replaced
+    // shortly before their lease would end. Other work is done again, the sooner the better.
+    Duration patience =
+        m.settled && replicas(m) > 0
+            ? settings.workers().lease().multipliedBy(7).dividedBy(10)
+            : report.multipliedBy(9).dividedBy(5);
     boolean deaf =
         m.life == Life.UP
             && !m.lost
             && m.missedProbes >= 2
-            && silence.compareTo(report.multipliedBy(2)) > 0
+            && silence.compareTo(patience) > 0
             && (!m.placements.isEmpty() || !m.settled)
             && fewAreSilent(now);
     if (!m.faulty && m.takenAt.isEmpty() && m.life == Life.UP) {
@@ -1530,7 +1538,7 @@
   private boolean fewAreSilent(Instant now) {
     int up = 0;
     int silent = 0;
-    Instant limit = now.minus(settings.workers().report().multipliedBy(2));
+    Instant limit = now.minus(settings.workers().report().multipliedBy(9).dividedBy(5));
     for (Machine m : machines.values()) {
       if (m.life == Life.UP && m.everReported && !m.lost) {
         up++;
