--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -100,8 +100,9 @@
     this.address = "";
   }
 
-  void noteImage(String image, double gb) {
-    images.put(image, gb);
+  /** Notes that the image was used here; true when it was not known to be here. */
+  boolean noteImage(String image, double gb) {
+    boolean added = images.put(image, gb) == null;
     double sum = 0;
     for (double d : images.values()) {
       sum += d;
@@ -115,6 +116,7 @@
       sum -= oldest.getValue();
       it.remove();
     }
+    return added;
   }
 
   /** What is left, when everything decided has come to pass. */
