--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -100,9 +100,8 @@
     this.address = "";
   }
 
-  /** Notes that the image was used here; true when it was not known to be here. */
-  boolean noteImage(String image, double gb) {
-    boolean added = images.put(image, gb) == null;
+  void noteImage(String image, double gb) {
+    images.put(image, gb);
     double sum = 0;
     for (double d : images.values()) {
       sum += d;
@@ -116,7 +115,6 @@
       sum -= oldest.getValue();
       it.remove();
     }
-    return added;
   }
 
   /** What is left, when everything decided has come to pass. */
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -66,7 +66,6 @@
   private static final int TERM_SHIFT = 24;
   private static final Duration DO_TIMEOUT = Duration.ofMillis(1500);
   private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1000);
-  private static final int MOST_IMAGES = 20;
   private static final Duration TICK = Duration.ofMillis(250);
   private static final Duration PASS_SPACING = Duration.ofMillis(30);
   private static final Duration COMMIT_SPACING = Duration.ofMillis(60);
@@ -423,10 +422,6 @@
           m.recordedRetiring = m.life == Life.RETIRING;
           m.everReported = true;
           m.session = value.path("session").asLong(1);
-          value
-              .path("images")
-              .fields()
-              .forEachRemaining(e -> m.noteImage(e.getKey(), e.getValue().asDouble()));
           enlist(m);
           probe(m);
         });
@@ -617,11 +612,7 @@
           p.attempt,
           Duration.between(p.job.submitted, now()).toMillis(),
           Duration.between(p.since, now()).toMillis());
-      if (p.machine.noteImage(p.job.spec.image(), p.job.spec.imageGb()) && p.machine.recorded) {
-        // For a successor, which sees only the images of what runs.
-        dirtyHosts.add(p.machine);
-        planCommit();
-      }
+      p.machine.noteImage(p.job.spec.image(), p.job.spec.imageGb());
       Instant now = now();
       if (before == Stage.SENT || before == Stage.FETCHING) {
         startMillis.recordValue(
@@ -1189,7 +1180,7 @@
       garbage.remove(Keys.host(m.name));
       changes.add(Change.write(Keys.host(m.name), hostValue(m)));
       batch.hosts.put(m, m.life == Life.RETIRING);
-      size += 300 + 60 * m.images.size();
+      size += 300;
     }
     for (Map.Entry<Job, Set<Integer>> e : dirty.entrySet()) {
       Job j = e.getKey();
@@ -1260,13 +1251,7 @@
   }
 
   private static JsonNode hostValue(Machine m) {
-    ObjectNode images = MessagePack.map();
-    m.images.entrySet().stream()
-        .limit(MOST_IMAGES)
-        .forEach(e -> images.put(e.getKey(), e.getValue()));
-    ObjectNode value = MessagePack.map();
-    value.set("images", images);
-    return value
+    return MessagePack.map()
         .put("stage", m.life == Life.RETIRING ? "retiring" : "usable")
         .put("address", m.address)
         .put("type", m.type.name())
