--- a/src/main/java/io/pearscale/cli/WarmUp.java
+++ b/src/main/java/io/pearscale/cli/WarmUp.java
@@ -137,7 +137,8 @@
     latch.await(3, TimeUnit.SECONDS);
   }
 
-  private static ObjectNode job() {
+  /** A well-formed submission. */
+  static ObjectNode job() {
     return MessagePack.map()
         .put("uid", "wk-000001")
         .put("lineup", "c")
--- a/src/test/java/io/pearscale/cli/LoopbackTest.java
+++ b/src/test/java/io/pearscale/cli/LoopbackTest.java
@@ -65,24 +65,7 @@
   }
 
   private static ObjectNode job() {
-    return MessagePack.map()
-        .put("uid", "wk-000001")
-        .put("lineup", "c")
-        .put("crew", "t")
-        .put("shape", "batch")
-        .put("rank", "normal")
-        .put("pieces", 3)
-        .put("vcpus", 1.0)
-        .put("accelerators", 0.0)
-        .put("memoryGb", 1.0)
-        .put("bundle", "i")
-        .put("imageGb", 1.0)
-        .put("oneZone", false)
-        .put("spread", false)
-        .put("windfall", true)
-        .put("guessS", 10.0)
-        .put("bookmarkS", 0.0)
-        .put("stashS", 0.0);
+    return WarmUp.job();
   }
 
   private int submit(JsonNode body) throws Exception {
