--- a/src/main/java/io/pearscale/bookkeeping/Job.java
+++ b/src/main/java/io/pearscale/bookkeeping/Job.java
@@ -35,7 +35,6 @@
   final Set<String> failedOn = new HashSet<>();
   Instant notBefore = Instant.MIN;
   boolean succeeded;
-  int nextHint;
 
   Job(JobSpec spec, long stamp, Instant submitted) {
     this.spec = spec;
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -129,7 +129,6 @@
   private final Consumer<List<JobCount>> counts;
   private final CloudActor cloud;
   private final Map<String, Team> teams = new HashMap<>();
-  private final Duration deadline;
 
   // Kept on every controller, fed by the replica.
   private final Map<String, Job> jobs = new LinkedHashMap<>();
@@ -199,7 +198,6 @@
     this.cloud = new CloudActor(loop, calls, settings, e -> tell(new CloudSaid(e)));
     this.renter = new Renter(tuning);
     settings.teams().forEach(t -> teams.put(t.name(), t));
-    this.deadline = settings.workers().lease();
   }
 
   @Override
@@ -1516,7 +1514,9 @@
         m.life == Life.BOOTING
             && now.isAfter(m.rented.plus(m.type.boot().multipliedBy(4)).plusSeconds(5));
     boolean silentLong =
-        m.lost && now.isAfter(m.heard.plus(deadline).plus(deadline)) && m.life == Life.UP;
+        m.lost
+            && now.isAfter(m.heard.plus(settings.workers().lease().multipliedBy(2)))
+            && m.life == Life.UP;
     boolean takenAway =
         m.takenAt.isPresent()
             && now.isAfter(m.takenAt.get().plusSeconds(2))
@@ -1761,6 +1761,10 @@
     if (jobs.values().stream().anyMatch(j -> !j.unknown.isEmpty())) {
       return;
     }
+    if (now.isAfter(evidence.plusSeconds(2))) {
+      // The state service can't be written: a machine marked now would be of no use to anybody.
+      return;
+    }
     List<Machine> candidates = new ArrayList<>(usable);
     double free = 0;
     double used = 0;
