Say each rule once: the team's limit, silence, the start objective, the zones

The limit was worked out in the placer and again for renting, the silence threshold and the zones stood twice, the classes that must start at once were collected beside the check for them, and sizes of large jobs were sorted anew for each machine. No bound or behaviour changes; tests share WarmUp's report.

--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -112,15 +112,25 @@
     return uses.computeIfAbsent(team, t -> new Use());
   }
 
-  /** Whether the team may use that much more. A limit of 0 means that there is none. */
-  boolean withinLimit(JobSpec s) {
+  /**
+   * How many more tasks like these the team's limit allows. A limit of 0 means that there is none.
+   */
+  static int leftWithinLimit(Map<String, Team> teams, Map<String, Use> uses, JobSpec s) {
     Team t = teams.get(s.team());
     if (t == null) {
-      return false;
+      return 0;
+    }
+    Use u = uses.getOrDefault(s.team(), new Use());
+    double n = Math.min(left(t.cpusMax(), u.cpus, s.cpus()), left(t.gpusMax(), u.gpus, s.gpus()));
+    return (int) Math.max(0, Math.min(n, s.tasks()));
+  }
+
+  private static double left(double limit, double used, double each) {
+    double room = limit - used + 1e-6;
+    if (limit <= 0 || (each <= 0 && room >= 0)) {
+      return Double.MAX_VALUE;
     }
-    Use u = use(s.team());
-    return (t.cpusMax() <= 0 || u.cpus + s.cpus() <= t.cpusMax() + 1e-6)
-        && (t.gpusMax() <= 0 || u.gpus + s.gpus() <= t.gpusMax() + 1e-6);
+    return each <= 0 ? 0 : room / each;
   }
 
   private boolean beyondGuarantee(String team, double cpus, double gpus) {
@@ -134,7 +144,7 @@
 
   /** Finds a machine for one more task of the job and books the room. */
   Optional<Choice> place(Job job, boolean mayStopOthers) {
-    if (!withinLimit(job.spec)) {
+    if (leftWithinLimit(teams, uses, job.spec) < 1) {
       return Optional.empty();
     }
     Visit v = visits.computeIfAbsent(TaskClass.of(job.spec), k -> new Visit(shuffled()));
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -591,9 +591,7 @@
   }
 
   private void progress(Placement p, Report.Stage stage) {
-    if (!p.confirmed) {
-      p.confirmed = true;
-    }
+    p.confirmed = true;
     Stage before = p.stage;
     p.stage =
         switch (stage) {
@@ -1495,7 +1493,7 @@
     Duration patience =
         m.settled && replicas(m) > 0
             ? settings.workers().lease().multipliedBy(7).dividedBy(10)
-            : report.multipliedBy(9).dividedBy(5);
+            : silentAfter();
     boolean deaf =
         m.life == Life.UP
             && !m.lost
@@ -1531,6 +1529,11 @@
     }
   }
 
+  /** How long a machine may say nothing before it counts as silent. */
+  private Duration silentAfter() {
+    return settings.workers().report().multipliedBy(9).dividedBy(5);
+  }
+
   /**
    * Deleting a silent machine proves it empty sooner than waiting for its lease. That is only worth
    * it, and only believable, while nearly all others are heard: else it is we who are cut off.
@@ -1538,7 +1541,7 @@
   private boolean fewAreSilent(Instant now) {
     int up = 0;
     int silent = 0;
-    Instant limit = now.minus(settings.workers().report().multipliedBy(9).dividedBy(5));
+    Instant limit = now.minus(silentAfter());
     for (Machine m : machines.values()) {
       if (m.life == Life.UP && m.everReported && !m.lost) {
         up++;
@@ -1626,17 +1629,15 @@
     Map<String, Placer.Use> uses = uses();
     for (Job j : waiting(now)) {
       // What the team's limit keeps waiting would wait on rented machines as well.
-      int tasks = Math.min(j.pending(), withinLimit(j.spec, uses));
+      int tasks = Math.min(j.pending(), Placer.leftWithinLimit(teams, uses, j.spec));
       if (tasks == 0) {
         continue;
       }
       charge(uses, j.spec, tasks);
       if (j.spec.spread()) {
         // Each zone may take its part only.
-        Set<String> zones = new LinkedHashSet<>();
-        types.values().forEach(t -> zones.addAll(t.zones()));
         int left = tasks;
-        for (String zone : zones) {
+        for (String zone : zones()) {
           int n = Math.min(left, j.spec.perZone() - j.inZone(zone));
           if (n > 0) {
             demands.add(new Renter.Demand(j, n, Optional.of(zone)));
@@ -1665,32 +1666,18 @@
     spare(usable, now);
   }
 
-  /** How many more such tasks the team's limit allows. */
-  private int withinLimit(JobSpec spec, Map<String, Placer.Use> uses) {
-    Team t = teams.get(spec.team());
-    if (t == null) {
-      return 0;
-    }
-    Placer.Use u = uses.getOrDefault(spec.team(), new Placer.Use());
-    double n = spec.tasks();
-    if (t.cpusMax() > 0 && spec.cpus() > 0) {
-      n = Math.min(n, (t.cpusMax() - u.cpus + 1e-6) / spec.cpus());
-    }
-    if (t.gpusMax() > 0 && spec.gpus() > 0) {
-      n = Math.min(n, (t.gpusMax() - u.gpus + 1e-6) / spec.gpus());
-    }
-    return (int) Math.max(0, n);
+  /** All zones of the catalogue. */
+  private Set<String> zones() {
+    Set<String> zones = new LinkedHashSet<>();
+    types.values().forEach(t -> zones.addAll(t.zones()));
+    return zones;
   }
 
   /** Room to keep for classes that are expected to start at once. */
   private List<Renter.Demand> headroom(List<Machine> usable) {
     Map<String, Integer> running = new HashMap<>();
-    Set<String> urgent = new HashSet<>();
-    settings.objectives().stream()
-        .filter(o -> o.kind().equals("wait"))
-        .forEach(o -> urgent.add(o.jobClass()));
     for (Job j : jobs.values()) {
-      if (!urgent.contains(j.spec.jobClass())) {
+      if (!startsAtOnce(j.spec)) {
         continue;
       }
       samples.put(j.spec.jobClass(), j);
@@ -1710,8 +1697,7 @@
           free.merge(m.zone, m.roomWithEviction(sample), Integer::sum);
         }
       }
-      Set<String> zones = new LinkedHashSet<>();
-      types.values().forEach(t -> zones.addAll(t.zones()));
+      Set<String> zones = zones();
       int each = (want + zones.size() - 1) / Math.max(1, zones.size());
       for (String zone : zones) {
         int lacking = each - free.getOrDefault(zone, 0);
@@ -1780,7 +1766,9 @@
             .thenComparing(m -> m.type.cpus() - m.room().cpus)
             .thenComparing(m -> m.name));
     Map<String, Integer> places = new HashMap<>();
+    Map<String, Integer> large = new HashMap<>();
     for (String c : sizes.keySet()) {
+      large.put(c, largeJob(c));
       for (Machine m : usable) {
         places.merge(c, placesFor(c, m), Integer::sum);
       }
@@ -1797,7 +1785,7 @@
       boolean room = !waiting && after >= reserve && lacking(rest) <= lacking;
       for (String c : sizes.keySet()) {
         int lost = placesFor(c, m);
-        room &= lost == 0 || places.get(c) - lost >= largeJob(c);
+        room &= lost == 0 || places.get(c) - lost >= large.get(c);
       }
       int replicas = replicas(m);
       if (room && replicas > 0) {
--- a/src/main/java/io/pearscale/cli/WarmUp.java
+++ b/src/main/java/io/pearscale/cli/WarmUp.java
@@ -160,7 +160,8 @@
         .put("dueS", 60.0);
   }
 
-  private static ObjectNode report(String address) {
+  /** A well-formed report. */
+  static ObjectNode report(String address) {
     ObjectNode n =
         MessagePack.map()
             .put("hive", "m-000001")
--- a/src/test/java/io/pearscale/cli/LoopbackTest.java
+++ b/src/test/java/io/pearscale/cli/LoopbackTest.java
@@ -158,16 +158,7 @@
   @Test
   void reportsWithoutALeaderAreNotAnswered200() throws Exception {
     assertEquals(400, send("POST", "/checkin", new byte[] {1, 2}).statusCode());
-    ObjectNode report =
-        MessagePack.map()
-            .put("hive", "m-000001")
-            .put("address", "127.0.0.1:1")
-            .put("breed", "g")
-            .put("yard", "a")
-            .put("windfall", false)
-            .put("stint", 1)
-            .put("tally", 1)
-            .put("baton", 0);
+    ObjectNode report = WarmUp.report("127.0.0.1:1");
     assertEquals(503, send("POST", "/checkin", MessagePack.encode(report)).statusCode());
   }
 
