--- /dev/null
+++ b/src/main/java/io/pearscale/bookkeeping/ApiActor.java
@@ -0,0 +1,375 @@
+package io.pearscale.bookkeeping;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.JobSpec;
+import io.pearscale.protocol.MachineType;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.protocol.PeerMessage.JobCount;
+import io.pearscale.protocol.Settings;
+import io.pearscale.protocol.Settings.Team;
+import io.pearscale.storage.Keys;
+import io.pearscale.storage.ReplicaActor;
+import io.pearscale.storage.ReplicaActor.Entry;
+import io.pearscale.storage.ReplicaActor.KeyChange;
+import io.pearscale.storage.StateClient;
+import io.pearscale.storage.StateClient.Change;
+import io.pearscale.storage.StateClient.Guard;
+import io.pearscale.transport.Actor;
+import io.pearscale.transport.Calls.Reply;
+import io.pearscale.transport.HttpServer.Response;
+import io.pearscale.transport.Loop;
+import io.pearscale.transport.MessagePack;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Answers users. Accepted, cancelled and done are told only once they are durable; anything that
+ * could still change is told only as fresh as the question, by a read of the state service that
+ * began after it. What can't be told so is answered 503 at once.
+ */
+public final class ApiActor extends Actor<ApiActor.Message> {
+  private static final int REMEMBERED = 20_000;
+  private static final int MOST_LIVE = 20_000;
+  private static final int MOST_OPEN = 512;
+  private static final Duration SOON = Duration.ofSeconds(1);
+
+  /** What the actor understands. */
+  public sealed interface Message {}
+
+  /** A user submits. */
+  public record Submit(Optional<JsonNode> body, Consumer<Response> answer) implements Message {}
+
+  /** A user asks for a job. */
+  public record Query(String id, Consumer<Response> answer) implements Message {}
+
+  /** A user cancels a job. */
+  public record Cancel(String id, Consumer<Response> answer) implements Message {}
+
+  /** The replica was loaded. */
+  public record Loaded(Map<String, Entry> all) implements Message {}
+
+  /** Keys changed. */
+  public record Changed(List<KeyChange> changes) implements Message {}
+
+  /** The leader's counts, for display. */
+  public record Counts(List<JobCount> jobs) implements Message {}
+
+  private record Created(JobSpec spec, Consumer<Response> answer, Reply reply) implements Message {}
+
+  private record Withdrawn(String id, int pieces, int tries, Consumer<Response> answer, Reply reply)
+      implements Message {}
+
+  private record Found(String id, Optional<Optional<Entry>> entry, Consumer<Lookup> then)
+      implements Message {}
+
+  private record PastRead(String id, Reply reply, Consumer<Lookup> then) implements Message {}
+
+  /** What is known of a job, as fresh as the question. */
+  private sealed interface Lookup {}
+
+  private record Live(Entry entry) implements Lookup {}
+
+  private record Over(Past past) implements Lookup {}
+
+  private record Nothing() implements Lookup {}
+
+  private record Unknown() implements Lookup {}
+
+  /** How a job ended. */
+  private record Past(String stage, int pieces) {}
+
+  private final StateClient state;
+  private final ReplicaActor replica;
+  private final Settings settings;
+  private final InstantSource timeOfDay;
+  private final Map<String, Team> teams = new HashMap<>();
+  private final Map<String, JobCount> counts = new HashMap<>();
+  private final Set<String> live = new HashSet<>();
+  private List<MachineType> types = List.of();
+  private boolean loaded;
+  private int open;
+  private final Map<String, Past> past =
+      new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Past> eldest) {
+          return size() > REMEMBERED;
+        }
+      };
+
+  /** Answers from the state service and its replica. */
+  public ApiActor(
+      Loop loop,
+      StateClient state,
+      ReplicaActor replica,
+      Settings settings,
+      InstantSource timeOfDay) {
+    super(loop);
+    this.state = state;
+    this.replica = replica;
+    this.settings = settings;
+    this.timeOfDay = timeOfDay;
+    settings.teams().forEach(t -> teams.put(t.name(), t));
+  }
+
+  @Override
+  protected void receive(Message message) {
+    if (message instanceof Submit m) {
+      submit(m.body, limited(m.answer));
+    } else if (message instanceof Query m) {
+      Consumer<Response> answer = limited(m.answer);
+      lookup(m.id, l -> answer.accept(show(m.id, l)));
+    } else if (message instanceof Cancel m) {
+      cancel(m.id, limited(m.answer), 0);
+    } else if (message instanceof Loaded m) {
+      loaded = true;
+      live.clear();
+      m.all.forEach((k, e) -> changed(new KeyChange(k, Optional.of(e))));
+    } else if (message instanceof Changed m) {
+      m.changes.forEach(this::changed);
+    } else if (message instanceof Counts m) {
+      m.jobs.forEach(c -> counts.put(c.job(), c));
+      if (counts.size() > 2 * MOST_LIVE) {
+        counts.keySet().retainAll(live);
+      }
+    } else if (message instanceof Created m) {
+      created(m);
+    } else if (message instanceof Withdrawn m) {
+      withdrawn(m);
+    } else if (message instanceof Found m) {
+      found(m);
+    } else if (message instanceof PastRead m) {
+      pastRead(m);
+    }
+  }
+
+  /** Counts open requests, so that a flood is refused while it can still be refused quickly. */
+  private Consumer<Response> limited(Consumer<Response> answer) {
+    open++;
+    return r -> {
+      open--;
+      answer.accept(r);
+    };
+  }
+
+  private void changed(KeyChange c) {
+    if (Keys.isLive(c.key())) {
+      String id = Keys.name(c.key());
+      if (c.entry().isPresent()) {
+        live.add(id);
+      } else {
+        live.remove(id);
+        counts.remove(id);
+      }
+    } else if (c.key().equals(Keys.CATALOGUE) && c.entry().isPresent()) {
+      types = MachineType.parseAll(c.entry().get().value());
+    }
+  }
+
+  // ---- Submitting ----
+
+  private void submit(Optional<JsonNode> body, Consumer<Response> answer) {
+    JobSpec spec;
+    try {
+      spec = JobSpec.parse(body.orElseThrow(() -> new Malformed("MessagePack expected")));
+      if (spec.toNode().toString().length() + 100 > settings.stateLimits().valueBytes()) {
+        throw new Malformed("too long");
+      }
+    } catch (Malformed e) {
+      answer.accept(Response.of(400, MessagePack.map().put("error", e.getMessage())));
+      return;
+    }
+    Past known = past.get(spec.id());
+    if (known != null) {
+      answer.accept(Response.of(200, stage(spec.id(), known.stage)));
+      return;
+    }
+    if (!loaded || open > MOST_OPEN) {
+      answer.accept(Response.later(SOON, loaded ? "busy" : "starting"));
+      return;
+    }
+    if (live.contains(spec.id())) {
+      lookup(spec.id(), l -> answer.accept(known(spec.id(), l, Optional.empty())));
+      return;
+    }
+    Optional<Response> refusal = judge(spec);
+    if (refusal.isPresent()) {
+      // An id that is known already is not judged again.
+      lookup(spec.id(), l -> answer.accept(known(spec.id(), l, refusal)));
+      return;
+    }
+    ObjectNode value = MessagePack.map().put("at", timeOfDay.instant().toEpochMilli());
+    value.set("spec", spec.toNode());
+    state.commit(
+        List.of(new Guard(Keys.live(spec.id()), 0), new Guard(Keys.past(spec.id()), 0)),
+        List.of(Change.write(Keys.live(spec.id()), value)),
+        reply -> tell(new Created(spec, answer, reply)));
+  }
+
+  /** What stands against a new job; empty when it can be accepted. */
+  private Optional<Response> judge(JobSpec s) {
+    if (types.isEmpty()) {
+      return Optional.of(Response.later(Duration.ofSeconds(2), "machine types unknown as yet"));
+    }
+    if (live.size() >= MOST_LIVE) {
+      return Optional.of(Response.later(Duration.ofSeconds(30), "too many jobs"));
+    }
+    Team t = teams.get(s.team());
+    if (t == null) {
+      return refuse("unknown team");
+    }
+    int n = s.service() ? s.tasks() : 1;
+    if ((t.cpusMax() > 0 && n * s.cpus() > t.cpusMax() + 1e-6)
+        || (t.gpusMax() > 0 && n * s.gpus() > t.gpusMax() + 1e-6)) {
+      return refuse("beyond the team's limit");
+    }
+    for (MachineType type : types) {
+      for (String zone : type.zones()) {
+        if (s.allows(type, zone, false) || s.allows(type, zone, true)) {
+          return Optional.empty();
+        }
+      }
+    }
+    return refuse("no allowed machine type is large enough");
+  }
+
+  private static Optional<Response> refuse(String why) {
+    return Optional.of(Response.of(422, MessagePack.map().put("error", why)));
+  }
+
+  private void created(Created m) {
+    String id = m.spec.id();
+    if (m.reply.ok()) {
+      live.add(id);
+      log.info("event=accepted job={} class={} tasks={}", id, m.spec.jobClass(), m.spec.tasks());
+      m.answer.accept(Response.of(201, stage(id, "pending")));
+    } else if (m.reply.status() == 409) {
+      lookup(id, l -> m.answer.accept(known(id, l, Optional.empty())));
+    } else {
+      // Whether it was applied is open. The user asks again with the same id, which settles it.
+      log.info("event=refused job={} status={}", id, m.reply.status());
+      m.answer.accept(Response.later(SOON, "state service"));
+    }
+  }
+
+  private Response known(String id, Lookup l, Optional<Response> otherwise) {
+    if (l instanceof Live) {
+      return Response.of(200, stage(id, liveStage(id)));
+    } else if (l instanceof Over o) {
+      return Response.of(200, stage(id, o.past.stage));
+    } else if (l instanceof Nothing && otherwise.isPresent()) {
+      return otherwise.get();
+    }
+    return Response.later(SOON, "state service");
+  }
+
+  // ---- Asking ----
+
+  private void lookup(String id, Consumer<Lookup> then) {
+    Past known = past.get(id);
+    if (known != null) {
+      then.accept(new Over(known));
+      return;
+    }
+    if (open > MOST_OPEN || !JobSpec.isId(id)) {
+      then.accept(JobSpec.isId(id) ? new Unknown() : new Nothing());
+      return;
+    }
+    replica.tell(new ReplicaActor.Ask(Keys.live(id), e -> tell(new Found(id, e, then))));
+  }
+
+  private void found(Found m) {
+    if (m.entry.isEmpty()) {
+      m.then.accept(new Unknown());
+    } else if (m.entry.get().isPresent()) {
+      m.then.accept(new Live(m.entry.get().get()));
+    } else {
+      // Not live at a time after the question: over by then, or never accepted by then.
+      state.read(Keys.past(m.id), r -> tell(new PastRead(m.id, r, m.then)));
+    }
+  }
+
+  private void pastRead(PastRead m) {
+    if (m.reply.ok()) {
+      JsonNode v = m.reply.body().path("value");
+      Past p = new Past(v.path("stage").asText(), v.path("pieces").asInt());
+      past.put(m.id, p);
+      m.then.accept(new Over(p));
+    } else if (m.reply.status() == 404) {
+      m.then.accept(new Nothing());
+    } else {
+      m.then.accept(new Unknown());
+    }
+  }
+
+  private String liveStage(String id) {
+    JobCount c = counts.get(id);
+    return c != null && c.running() > 0 ? "running" : "pending";
+  }
+
+  private static ObjectNode stage(String id, String stage) {
+    return MessagePack.map().put("uid", id).put("stage", stage);
+  }
+
+  private Response show(String id, Lookup l) {
+    if (l instanceof Live) {
+      JobCount c = counts.getOrDefault(id, new JobCount(id, 0, 0));
+      return Response.of(
+          200, stage(id, liveStage(id)).put("done", c.done()).put("running", c.running()));
+    } else if (l instanceof Over o) {
+      int done = o.past.stage.equals("done") ? o.past.pieces : 0;
+      return Response.of(200, stage(id, o.past.stage).put("done", done).put("running", 0));
+    } else if (l instanceof Nothing) {
+      return Response.of(404, MessagePack.map().put("error", "no such job"));
+    }
+    return Response.later(SOON, "state service");
+  }
+
+  // ---- Cancelling ----
+
+  private void cancel(String id, Consumer<Response> answer, int tries) {
+    lookup(
+        id,
+        l -> {
+          if (l instanceof Live x) {
+            int pieces = x.entry.value().path("spec").path("pieces").asInt();
+            state.commit(
+                List.of(new Guard(Keys.live(id), x.entry.stamp()), new Guard(Keys.past(id), 0)),
+                List.of(
+                    Change.drop(Keys.live(id)),
+                    Change.write(
+                        Keys.past(id),
+                        MessagePack.map().put("stage", "withdrawn").put("pieces", pieces))),
+                reply -> tell(new Withdrawn(id, pieces, tries, answer, reply)));
+          } else if (l instanceof Over o) {
+            answer.accept(Response.of(200, stage(id, o.past.stage)));
+          } else {
+            answer.accept(show(id, l));
+          }
+        });
+  }
+
+  private void withdrawn(Withdrawn m) {
+    if (m.reply.ok()) {
+      past.put(m.id, new Past("withdrawn", m.pieces));
+      live.remove(m.id);
+      log.info("event=withdrawn job={}", m.id);
+      m.answer.accept(Response.of(200, stage(m.id, "withdrawn")));
+    } else if (m.reply.status() == 409 && m.tries < 3) {
+      // Done or cancelled meanwhile: look again.
+      cancel(m.id, m.answer, m.tries + 1);
+    } else {
+      m.answer.accept(Response.later(SOON, "state service"));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/bookkeeping/Controller.java
@@ -0,0 +1,260 @@
+package io.pearscale.bookkeeping;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pearscale.coordination.ElectionActor;
+import io.pearscale.coordination.RelayActor;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.protocol.PeerMessage;
+import io.pearscale.protocol.PeerMessage.Counts;
+import io.pearscale.protocol.PeerMessage.ForwardedAnswer;
+import io.pearscale.protocol.PeerMessage.ForwardedReport;
+import io.pearscale.protocol.PeerMessage.Heartbeat;
+import io.pearscale.protocol.Report;
+import io.pearscale.protocol.ReportAnswer;
+import io.pearscale.protocol.Settings;
+import io.pearscale.storage.ReplicaActor;
+import io.pearscale.storage.ReplicaActor.Entry;
+import io.pearscale.storage.ReplicaActor.KeyChange;
+import io.pearscale.storage.StateClient;
+import io.pearscale.transport.Calls;
+import io.pearscale.transport.HttpServer.Response;
+import io.pearscale.transport.Links;
+import io.pearscale.transport.Loop;
+import io.pearscale.transport.MessagePack;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: its actors, wired together, and the doors through which requests come in. */
+public final class Controller {
+  private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+  private static final Duration HEARTBEAT = Duration.ofMillis(700);
+  private static final Duration STORE_SILENT = Duration.ofMillis(4500);
+
+  private record PeerState(Instant heard, boolean storeOk) {}
+
+  private final Loop loop;
+  private final Settings settings;
+  private final Links links;
+  private final StateClient state;
+  private final ReplicaActor replica;
+  private final ElectionActor election;
+  private final RelayActor relay;
+  private final SchedulerActor scheduler;
+  private final ApiActor api;
+  private final Map<String, PeerState> peers = new HashMap<>();
+  private long term;
+  private Optional<String> leader = Optional.empty();
+  private boolean loaded;
+
+  /** Wires a controller; {@link #start} sets it going. */
+  public Controller(
+      Loop loop,
+      Calls calls,
+      Links links,
+      Settings settings,
+      Tuning tuning,
+      RandomGenerator random,
+      InstantSource timeOfDay) {
+    this.loop = loop;
+    this.settings = settings;
+    this.links = links;
+    this.state = new StateClient(loop, calls, settings);
+    this.replica = new ReplicaActor(loop, state, random);
+    this.api = new ApiActor(loop, state, replica, settings, timeOfDay);
+    this.election =
+        new ElectionActor(loop, state, settings, random, List.of(new ElectionListener()));
+    this.scheduler =
+        new SchedulerActor(
+            loop,
+            state,
+            calls,
+            settings,
+            tuning,
+            random,
+            timeOfDay,
+            t -> tellElection(new ElectionActor.HigherTerm(t)),
+            this::counts);
+    this.relay = new RelayActor(loop, settings.host(), links, this::local);
+    replica.listen(new ReplicaListener());
+  }
+
+  private void tellElection(ElectionActor.Message m) {
+    election.tell(m);
+  }
+
+  private void local(Report report, Consumer<ReportAnswer> answer) {
+    if (!scheduler.tell(new SchedulerActor.Reported(report, answer))) {
+      answer.accept(ReportAnswer.UNAVAILABLE);
+    }
+  }
+
+  private final class ReplicaListener implements ReplicaActor.Listener {
+    @Override
+    public void loaded(Map<String, Entry> all, long epoch) {
+      loaded = true;
+      scheduler.tell(new SchedulerActor.Loaded(all, epoch));
+      api.tell(new ApiActor.Loaded(all));
+      election.tell(new ElectionActor.Loaded(all));
+    }
+
+    @Override
+    public void changed(List<KeyChange> changes, long epoch) {
+      scheduler.tell(new SchedulerActor.Changed(changes, epoch));
+      api.tell(new ApiActor.Changed(changes));
+      election.tell(new ElectionActor.Changed(changes));
+    }
+  }
+
+  private final class ElectionListener implements ElectionActor.Listener {
+    @Override
+    public void won(long newTerm, long termStamp, Instant evidence) {
+      scheduler.tell(new SchedulerActor.Won(newTerm, termStamp, evidence));
+    }
+
+    @Override
+    public void confirmed(Instant evidence) {
+      scheduler.tell(new SchedulerActor.Confirmed(evidence));
+    }
+
+    @Override
+    public void lost(long oldTerm) {
+      scheduler.tell(new SchedulerActor.Lost(oldTerm));
+    }
+
+    @Override
+    public void leader(long newTerm, Optional<String> name) {
+      term = newTerm;
+      leader = name;
+      relay.tell(new RelayActor.LeaderIs(newTerm, name));
+    }
+  }
+
+  private void counts(List<PeerMessage.JobCount> jobs) {
+    api.tell(new ApiActor.Counts(jobs));
+    byte[] frame = PeerMessage.encode(new Counts(jobs));
+    settings.peers().keySet().forEach(p -> links.send(p, frame));
+  }
+
+  /** Begins to work. */
+  public void start() {
+    replica.tell(new ReplicaActor.Start());
+    heartbeat();
+  }
+
+  private void heartbeat() {
+    byte[] frame = PeerMessage.encode(new Heartbeat(term, leader.orElse(""), storeOk()));
+    settings.peers().keySet().forEach(p -> links.send(p, frame));
+    loop.after(HEARTBEAT, this::heartbeat);
+  }
+
+  private boolean storeOk() {
+    return loaded
+        && state
+            .lastGood()
+            .map(t -> Duration.between(t, loop.clock().instant()).compareTo(STORE_SILENT) < 0)
+            .orElse(false);
+  }
+
+  /** A record of a peer. What can't be read is dropped and changes nothing. */
+  public void fromPeer(String peer, byte[] frame) {
+    PeerMessage message;
+    try {
+      message = PeerMessage.decode(frame);
+    } catch (Malformed e) {
+      LOG.warn("event=peer_record_dropped peer={} reason={}", peer, e.getMessage());
+      return;
+    }
+    if (message instanceof Heartbeat m) {
+      peers.put(peer, new PeerState(loop.clock().instant(), m.storeOk()));
+      election.tell(new ElectionActor.Heard(m.term(), m.leader()));
+    } else if (message instanceof ForwardedReport m) {
+      local(
+          m.report(),
+          a -> links.send(peer, PeerMessage.encode(new ForwardedAnswer(m.exchange(), a))));
+    } else if (message instanceof ForwardedAnswer m) {
+      relay.tell(new RelayActor.Answered(m));
+    } else if (message instanceof Counts m) {
+      api.tell(new ApiActor.Counts(m.jobs()));
+    }
+  }
+
+  /**
+   * Whether this controller should get users. One that can't reach the state service is of no use
+   * to them while another can; if none can, all stay, since leaving would only add the balancer's
+   * pause to the outage.
+   */
+  private boolean useful() {
+    if (!loaded) {
+      return false;
+    }
+    if (storeOk()) {
+      return true;
+    }
+    Instant limit = loop.clock().instant().minusSeconds(3);
+    return peers.values().stream().noneMatch(p -> p.storeOk && p.heard.isAfter(limit));
+  }
+
+  /** A request of a user, a worker or the load balancer. */
+  public void request(
+      String method, String path, Optional<JsonNode> body, Consumer<Response> respond) {
+    if (path.equals("/up") && method.equals("GET")) {
+      respond.accept(
+          useful()
+              ? Response.of(200, MessagePack.map().put("ok", true))
+              : Response.later(Duration.ofSeconds(1), "not ready"));
+    } else if (path.equals("/checkin") && method.equals("POST")) {
+      checkin(body, respond);
+    } else if (path.equals("/work") && method.equals("POST")) {
+      toApi(new ApiActor.Submit(body, respond), respond);
+    } else if (path.startsWith("/work/") && method.equals("GET")) {
+      toApi(new ApiActor.Query(path.substring(6), respond), respond);
+    } else if (path.startsWith("/work/") && path.endsWith("/cancel") && method.equals("POST")) {
+      toApi(new ApiActor.Cancel(path.substring(6, path.length() - 7), respond), respond);
+    } else {
+      respond.accept(Response.of(404, MessagePack.map().put("error", "no such page")));
+    }
+  }
+
+  private void toApi(ApiActor.Message message, Consumer<Response> respond) {
+    if (!api.tell(message)) {
+      respond.accept(Response.later(Duration.ofSeconds(2), "busy"));
+    }
+  }
+
+  private void checkin(Optional<JsonNode> body, Consumer<Response> respond) {
+    Report report;
+    try {
+      report = Report.parse(body.orElseThrow(() -> new Malformed("MessagePack expected")));
+    } catch (Malformed e) {
+      LOG.warn("event=report_malformed reason={}", e.getMessage());
+      respond.accept(Response.of(400, MessagePack.map().put("error", e.getMessage())));
+      return;
+    }
+    boolean taken =
+        relay.tell(
+            new RelayActor.Incoming(
+                report,
+                (answer, elsewhere) -> {
+                  if (answer.status() == 200) {
+                    respond.accept(Response.of(200, answer.toNode()));
+                  } else if (elsewhere.isPresent()) {
+                    respond.accept(
+                        Response.of(421, MessagePack.map().put("foreman", elsewhere.get())));
+                  } else {
+                    respond.accept(Response.of(503, MessagePack.map().put("error", "no leader")));
+                  }
+                }));
+    if (!taken) {
+      respond.accept(Response.of(503, MessagePack.map().put("error", "busy")));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -0,0 +1,189 @@
+package io.pearscale.bookkeeping;
+
+import io.pearscale.protocol.MachineType;
+import io.pearscale.protocol.Order;
+import io.pearscale.protocol.TaskId;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** A machine, as the leader sees it. */
+final class Machine {
+  enum Life {
+    BOOTING,
+    UP,
+    /** To be given back; never used again, since a late deletion may still reach it. */
+    RETIRING
+  }
+
+  /** An attempt that ended, until the worker has forgotten it. */
+  record Ended(TaskId task, long attempt) {}
+
+  final String name;
+  final String zone;
+  final boolean spot;
+  final MachineType type;
+  Life life;
+  String address;
+  Instant rented;
+
+  long session;
+  long sequence;
+
+  /** Highest token that a report has shown, and the one that we command with. */
+  long seenToken;
+
+  long token;
+
+  /**
+   * A command with this token got no answer: it may yet be executed, until a higher one is seen.
+   */
+  long doubtToken = -1;
+
+  /** Whether a report has shown a token of this term: from then on reports tell all. */
+  boolean settled;
+
+  /** Nothing can be alive here: the lease ran out, and it has not reported since. */
+  boolean lost;
+
+  /** Whether the roster durably names the machine, and as what. */
+  boolean recorded;
+
+  boolean recordedRetiring;
+  boolean deleteSent;
+  Instant heard = Instant.MIN;
+
+  /** The lease ends at the latest when this, plus a lease, has passed. */
+  Instant renewed;
+
+  boolean everReported;
+  boolean calling;
+  Instant directAfter = Instant.MIN;
+  Optional<Instant> takenAt = Optional.empty();
+  boolean faulty;
+  int errors;
+  final Set<String> errorJobs = new HashSet<>();
+  Instant avoidUntil = Instant.MIN;
+  Instant idleSince = Instant.MAX;
+  boolean listed;
+  Instant listedSince = Instant.MIN;
+
+  final Map<TaskId, Placement> placements = new LinkedHashMap<>();
+  final Map<Ended, Boolean> ended = new HashMap<>();
+  final Map<Ended, Instant> foreign = new HashMap<>();
+
+  /** Images used here, the latest last, with their sizes. */
+  final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
+
+  Machine(String name, String zone, boolean spot, MachineType type, Life life, Instant now) {
+    this.name = name;
+    this.zone = zone;
+    this.spot = spot;
+    this.type = type;
+    this.life = life;
+    this.rented = now;
+    this.renewed = Instant.MIN;
+    this.address = "";
+  }
+
+  void noteImage(String image, double gb) {
+    images.put(image, gb);
+    double sum = 0;
+    for (double d : images.values()) {
+      sum += d;
+    }
+    var it = images.entrySet().iterator();
+    while (sum > type.cacheGb() && it.hasNext()) {
+      var oldest = it.next();
+      if (oldest.getKey().equals(image)) {
+        break;
+      }
+      sum -= oldest.getValue();
+      it.remove();
+    }
+  }
+
+  /** What is left, when everything decided has come to pass. */
+  Room room() {
+    Room r = new Room(type.cpus(), type.gpus(), type.memoryGb());
+    for (Placement p : placements.values()) {
+      if (!p.doomed) {
+        r.take(p.job);
+      }
+    }
+    return r;
+  }
+
+  /** What is left now, counting all that may be on the machine. */
+  Room physicalRoom() {
+    Room r = new Room(type.cpus(), type.gpus(), type.memoryGb());
+    for (Placement p : placements.values()) {
+      if (p.stage != Placement.Stage.PLANNED) {
+        r.take(p.job);
+      }
+    }
+    return r;
+  }
+
+  boolean inDoubt() {
+    return doubtToken >= seenToken;
+  }
+
+  /** Room in all resources. */
+  static final class Room {
+    private static final double SLACK = 1e-6;
+    double cpus;
+    double gpus;
+    double memoryGb;
+
+    Room(double cpus, double gpus, double memoryGb) {
+      this.cpus = cpus;
+      this.gpus = gpus;
+      this.memoryGb = memoryGb;
+    }
+
+    void take(Job j) {
+      cpus -= j.spec.cpus();
+      gpus -= j.spec.gpus();
+      memoryGb -= j.spec.memoryGb();
+    }
+
+    void give(Job j) {
+      cpus += j.spec.cpus();
+      gpus += j.spec.gpus();
+      memoryGb += j.spec.memoryGb();
+    }
+
+    boolean fits(Job j) {
+      return cpus + SLACK >= j.spec.cpus()
+          && gpus + SLACK >= j.spec.gpus()
+          && memoryGb + SLACK >= j.spec.memoryGb();
+    }
+
+    /** How many tasks like these fit. */
+    int count(Job j) {
+      double n = 100_000;
+      if (j.spec.cpus() > 0) {
+        n = Math.min(n, (cpus + SLACK) / j.spec.cpus());
+      }
+      if (j.spec.gpus() > 0) {
+        n = Math.min(n, (gpus + SLACK) / j.spec.gpus());
+      }
+      if (j.spec.memoryGb() > 0) {
+        n = Math.min(n, (memoryGb + SLACK) / j.spec.memoryGb());
+      }
+      return (int) Math.max(0, n);
+    }
+  }
+
+  /** The kill command for a placement; a second one no longer waits for saving. */
+  static Order kill(Placement p) {
+    boolean saves = p.job.spec.checkpoint().toNanos() > 0 && p.kills == 0;
+    return Order.kill(
+        p.task, p.attempt, saves ? p.job.spec.save().plusSeconds(2) : java.time.Duration.ZERO);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/bookkeeping/Placement.java
@@ -0,0 +1,47 @@
+package io.pearscale.bookkeeping;
+
+import io.pearscale.protocol.TaskId;
+import java.time.Instant;
+
+/** One attempt of a task on one machine, from the decision until it is known to be gone. */
+final class Placement {
+  enum Stage {
+    /** Decided, no command sent: can be taken back. */
+    PLANNED,
+    /** A command was sent; whether it arrived is open. */
+    SENT,
+    FETCHING,
+    RUNNING,
+    SAVING
+  }
+
+  final Job job;
+  final TaskId task;
+  final long attempt;
+  final Machine machine;
+  Stage stage;
+
+  /** Highest token and the session of any start command for this attempt. */
+  long token;
+
+  long session;
+
+  /** Whether a report has shown the attempt. */
+  boolean confirmed;
+
+  /** To be stopped. */
+  boolean doomed;
+
+  Instant killSent = Instant.MIN;
+  int kills;
+  Instant since;
+
+  Placement(Job job, TaskId task, long attempt, Machine machine, Stage stage, Instant since) {
+    this.job = job;
+    this.task = task;
+    this.attempt = attempt;
+    this.machine = machine;
+    this.stage = stage;
+    this.since = since;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -0,0 +1,321 @@
+package io.pearscale.bookkeeping;
+
+import io.pearscale.bookkeeping.Machine.Room;
+import io.pearscale.protocol.JobSpec;
+import io.pearscale.protocol.Priority;
+import io.pearscale.protocol.Settings.Team;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * One pass of the design's placement: machines in random order, one check per task class, the best
+ * score among the first few that fit, and if none fits the fewest, lowest victims.
+ */
+final class Placer {
+  /** Tasks that are alike for feasibility and score. */
+  record TaskClass(
+      String team,
+      Priority priority,
+      boolean service,
+      double cpus,
+      double gpus,
+      double memoryGb,
+      String image,
+      Optional<List<String>> types,
+      Optional<String> zone,
+      boolean spot) {
+    static TaskClass of(JobSpec s) {
+      return new TaskClass(
+          s.team(),
+          s.priority(),
+          s.service(),
+          s.cpus(),
+          s.gpus(),
+          s.memoryGb(),
+          s.image(),
+          s.types(),
+          s.zone(),
+          s.spot());
+    }
+  }
+
+  /** Where a task goes, and who has to leave for it. */
+  record Choice(Machine machine, List<Placement> victims) {}
+
+  /** The machines that were met for a class in this pass. */
+  private static final class Visit {
+    final List<Machine> order;
+    int next;
+    final List<Machine> found = new ArrayList<>();
+    boolean noVictims;
+
+    Visit(List<Machine> order) {
+      this.order = order;
+    }
+  }
+
+  /** What a team has in use. */
+  static final class Use {
+    double cpus;
+    double gpus;
+  }
+
+  private final Tuning tuning;
+  private final RandomGenerator random;
+  private final Map<String, Team> teams;
+  private final Map<Machine, Room> rooms = new HashMap<>();
+  private final Map<TaskClass, Visit> visits = new HashMap<>();
+  private final Map<String, Use> uses;
+  private final List<Machine> machines;
+  private final Instant now;
+
+  /**
+   * Prepares a pass.
+   *
+   * @param machines those that may take tasks now
+   * @param uses what each team may have on machines, all doubt counted as use
+   */
+  Placer(
+      Tuning tuning,
+      RandomGenerator random,
+      Map<String, Team> teams,
+      Collection<Machine> machines,
+      Map<String, Use> uses,
+      Instant now) {
+    this.now = now;
+    this.tuning = tuning;
+    this.random = random;
+    this.teams = teams;
+    this.machines = new ArrayList<>(machines);
+    this.uses = uses;
+  }
+
+  Room room(Machine m) {
+    return rooms.computeIfAbsent(m, Machine::room);
+  }
+
+  private Use use(String team) {
+    return uses.computeIfAbsent(team, t -> new Use());
+  }
+
+  /** Whether the team may use that much more. A limit of 0 means that there is none. */
+  boolean withinLimit(JobSpec s) {
+    Team t = teams.get(s.team());
+    if (t == null) {
+      return false;
+    }
+    Use u = use(s.team());
+    return (t.cpusMax() <= 0 || u.cpus + s.cpus() <= t.cpusMax() + 1e-6)
+        && (t.gpusMax() <= 0 || u.gpus + s.gpus() <= t.gpusMax() + 1e-6);
+  }
+
+  private boolean beyondGuarantee(String team, double cpus, double gpus) {
+    Team t = teams.get(team);
+    if (t == null || (t.cpus() <= 0 && t.gpus() <= 0)) {
+      return true;
+    }
+    Use u = use(team);
+    return u.cpus + cpus > t.cpus() + 1e-6 || u.gpus + gpus > t.gpus() + 1e-6;
+  }
+
+  /** Finds a machine for one more task of the job and books the room. */
+  Optional<Choice> place(Job job) {
+    if (!withinLimit(job.spec)) {
+      return Optional.empty();
+    }
+    Visit v = visits.computeIfAbsent(TaskClass.of(job.spec), k -> new Visit(shuffled()));
+    Machine best = null;
+    double bestScore = Double.MAX_VALUE;
+    v.found.removeIf(m -> !room(m).fits(job));
+    int usable = 0;
+    for (Machine m : v.found) {
+      if (allowedNow(job, m)) {
+        usable++;
+        double s = score(job, m);
+        if (s < bestScore) {
+          bestScore = s;
+          best = m;
+        }
+      }
+    }
+    while (usable < tuning.sample() && v.next < v.order.size()) {
+      Machine m = v.order.get(v.next++);
+      if (!job.spec.allows(m.type, m.zone, m.spot) || !room(m).fits(job)) {
+        continue;
+      }
+      v.found.add(m);
+      if (allowedNow(job, m)) {
+        usable++;
+        double s = score(job, m);
+        if (s < bestScore) {
+          bestScore = s;
+          best = m;
+        }
+      }
+    }
+    if (best != null) {
+      book(job, best);
+      return Optional.of(new Choice(best, List.of()));
+    }
+    if (v.noVictims) {
+      return Optional.empty();
+    }
+    Optional<Choice> byEviction = evict(job);
+    if (byEviction.isEmpty()) {
+      // Like tasks are decided as a class: what found nobody to evict need not look again.
+      v.noVictims = !job.spec.spread() && !job.spec.oneZone();
+    }
+    return byEviction;
+  }
+
+  private void book(Job job, Machine m) {
+    room(m).take(job);
+    Use u = use(job.spec.team());
+    u.cpus += job.spec.cpus();
+    u.gpus += job.spec.gpus();
+  }
+
+  private List<Machine> shuffled() {
+    List<Machine> order = new ArrayList<>(machines);
+    for (int i = order.size() - 1; i > 0; i--) {
+      Collections.swap(order, i, random.nextInt(i + 1));
+    }
+    return order;
+  }
+
+  /** The rules that depend on where the job's other tasks are, all doubt counted against it. */
+  static boolean allowedNow(Job job, Machine m) {
+    if (job.spec.spread() && job.inZone(m.zone) >= job.spec.perZone()) {
+      return false;
+    }
+    if (job.spec.oneZone()) {
+      if (!job.unknown.isEmpty()) {
+        return false;
+      }
+      for (Placement p : job.placed.values()) {
+        if (!p.machine.zone.equals(m.zone)) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  private double score(Job job, Machine m) {
+    Room r = room(m);
+    JobSpec s = job.spec;
+    double stranded = (r.cpus - s.cpus()) / Math.max(1e-9, m.type.cpus());
+    stranded += (r.memoryGb - s.memoryGb()) / Math.max(1e-9, m.type.memoryGb());
+    if (m.type.gpus() > 0) {
+      stranded += (r.gpus - s.gpus()) / m.type.gpus();
+    }
+    int onMachine = 0;
+    int inZone = 0;
+    for (Placement p : job.placed.values()) {
+      if (p.machine == m) {
+        onMachine++;
+      }
+      if (p.machine.zone.equals(m.zone)) {
+        inZone++;
+      }
+    }
+    return tuning.strandedWeight() * stranded
+        + tuning.sameMachineWeight() * onMachine / Math.max(1, s.tasks())
+        + tuning.sameZoneWeight() * inZone / Math.max(1, s.tasks())
+        - (m.images.containsKey(s.image()) ? tuning.imageWeight() : 0)
+        + (s.spot() && !m.spot ? tuning.ordinaryWeight() : 0)
+        // A machine that just missed a direct command gets its starts by report only, which is
+        // slow.
+        + (now.isBefore(m.directAfter) ? tuning.imageWeight() : 0);
+  }
+
+  private Optional<Choice> evict(Job job) {
+    boolean guaranteed = !beyondGuarantee(job.spec.team(), job.spec.cpus(), job.spec.gpus());
+    Choice best = null;
+    List<Machine> order = shuffled();
+    for (Machine m : order) {
+      if (!job.spec.allows(m.type, m.zone, m.spot) || !allowedNow(job, m)) {
+        continue;
+      }
+      List<Placement> candidates = new ArrayList<>();
+      for (Placement p : m.placements.values()) {
+        if (!p.doomed && mayEvict(job, p, guaranteed)) {
+          candidates.add(p);
+        }
+      }
+      // Lowest first; among equals the youngest, which has the least to lose.
+      candidates.sort(
+          Comparator.comparing((Placement p) -> p.job.spec.priority())
+              .thenComparing(p -> p.since, Comparator.reverseOrder()));
+      Room r = room(m);
+      Room trial = new Room(r.cpus, r.gpus, r.memoryGb);
+      List<Placement> victims = new ArrayList<>();
+      for (Placement p : candidates) {
+        if (trial.fits(job)) {
+          break;
+        }
+        trial.give(p.job);
+        victims.add(p);
+      }
+      if (!trial.fits(job) || victims.isEmpty()) {
+        continue;
+      }
+      if (best == null || better(victims, m, best, job)) {
+        best = new Choice(m, victims);
+      }
+    }
+    if (best == null) {
+      return Optional.empty();
+    }
+    for (Placement p : best.victims()) {
+      room(best.machine()).give(p.job);
+    }
+    book(job, best.machine());
+    return Optional.of(best);
+  }
+
+  private static boolean better(List<Placement> victims, Machine m, Choice best, Job job) {
+    Priority a = highest(victims);
+    Priority b = highest(best.victims());
+    if (victims.size() != best.victims().size()) {
+      return victims.size() < best.victims().size();
+    }
+    if (a != b) {
+      return a.compareTo(b) < 0;
+    }
+    return m.images.containsKey(job.spec.image())
+        && !best.machine().images.containsKey(job.spec.image());
+  }
+
+  private static Priority highest(List<Placement> victims) {
+    Priority p = Priority.IDLE;
+    for (Placement v : victims) {
+      if (v.job.spec.priority().compareTo(p) > 0) {
+        p = v.job.spec.priority();
+      }
+    }
+    return p;
+  }
+
+  private boolean mayEvict(Job job, Placement victim, boolean guaranteed) {
+    JobSpec v = victim.job.spec;
+    if (v.priority().compareTo(job.spec.priority()) < 0) {
+      return true;
+    }
+    if (job.spec.priority() == Priority.CRITICAL && v.priority() == Priority.CRITICAL) {
+      return false; // top-band tasks do not evict one another
+    }
+    return guaranteed
+        && !v.team().equals(job.spec.team())
+        && beyondGuarantee(v.team(), 0, 0)
+        && teams.containsKey(v.team());
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/bookkeeping/Renter.java
@@ -0,0 +1,144 @@
+package io.pearscale.bookkeeping;
+
+import io.pearscale.bookkeeping.Machine.Room;
+import io.pearscale.protocol.MachineType;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Decides what to rent: work that finds no room is packed into machines that are on their way, and
+ * for what is left over the cheapest kind that can be had is chosen.
+ */
+final class Renter {
+  private static final int MOST_AT_ONCE = 12;
+
+  /** A kind of machine: what is refused is refused for one of these. */
+  record Kind(String type, String zone, boolean spot) {}
+
+  /** Work to find room for. */
+  record Demand(Job job, int tasks, Optional<String> zone) {}
+
+  private record Refusal(Instant until, int times) {}
+
+  private final Tuning tuning;
+  private final Map<Kind, Refusal> refused = new HashMap<>();
+
+  Renter(Tuning tuning) {
+    this.tuning = tuning;
+  }
+
+  /** The cloud has none of this kind now: it is left alone for a while, longer each time. */
+  void noteRefused(Kind kind, Instant now) {
+    int times = refused.containsKey(kind) ? refused.get(kind).times + 1 : 1;
+    refused.put(kind, new Refusal(now.plusSeconds(Math.min(60, 6L << Math.min(4, times))), times));
+  }
+
+  /** This kind was asked for: not again before there is an answer, or it is overdue. */
+  void noteAsked(Kind kind, Instant now) {
+    int times = refused.containsKey(kind) ? refused.get(kind).times : 0;
+    refused.put(kind, new Refusal(now.plusSeconds(15), times));
+  }
+
+  /** The cloud gave one of this kind. */
+  void noteGranted(Kind kind) {
+    refused.remove(kind);
+  }
+
+  private static final class Bin {
+    final MachineType type;
+    final String zone;
+    final boolean spot;
+    final Room room;
+
+    Bin(MachineType type, String zone, boolean spot) {
+      this.type = type;
+      this.zone = zone;
+      this.spot = spot;
+      this.room = new Room(type.cpus(), type.gpus(), type.memoryGb());
+    }
+
+    int take(Demand d, int tasks) {
+      if (!d.job().spec.allows(type, zone, spot) || !d.zone().map(zone::equals).orElse(true)) {
+        return 0;
+      }
+      int n = Math.min(tasks, room.count(d.job()));
+      for (int i = 0; i < n; i++) {
+        room.take(d.job());
+      }
+      return n;
+    }
+  }
+
+  /** What to rent now, given what is on its way. */
+  Map<Kind, Integer> plan(
+      List<Demand> demands,
+      Collection<Machine> coming,
+      Collection<MachineType> types,
+      Instant now) {
+    List<Bin> bins = new ArrayList<>();
+    for (Machine m : coming) {
+      bins.add(new Bin(m.type, m.zone, m.spot));
+    }
+    Map<Kind, Integer> hires = new LinkedHashMap<>();
+    int total = 0;
+    for (Demand d : demands) {
+      int left = d.tasks();
+      for (Bin b : bins) {
+        if (left == 0) {
+          break;
+        }
+        left -= b.take(d, left);
+      }
+      while (left > 0 && total < MOST_AT_ONCE) {
+        Optional<Bin> best = cheapest(d, left, types, now);
+        if (best.isEmpty()) {
+          break;
+        }
+        Bin b = best.get();
+        left -= b.take(d, left);
+        bins.add(b);
+        hires.merge(new Kind(b.type.name(), b.zone, b.spot), 1, Integer::sum);
+        total++;
+      }
+    }
+    return hires;
+  }
+
+  private Optional<Bin> cheapest(Demand d, int tasks, Collection<MachineType> types, Instant now) {
+    Bin best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (MachineType t : types) {
+      for (String zone : t.zones()) {
+        for (boolean spot : new boolean[] {true, false}) {
+          Refusal r = refused.get(new Kind(t.name(), zone, spot));
+          if (r != null && now.isBefore(r.until)) {
+            continue;
+          }
+          Bin b = new Bin(t, zone, spot);
+          int n = new Bin(t, zone, spot).take(d, tasks);
+          if (n == 0) {
+            continue;
+          }
+          double cost = t.price(spot) * (spot ? tuning.spotRisk() : 1) / n;
+          if (cost < bestCost) {
+            bestCost = cost;
+            best = b;
+          }
+        }
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /** How long a machine may boot before it no longer counts as coming. */
+  static Duration patience(MachineType t) {
+    return t.boot().multipliedBy(2).plusSeconds(5);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -0,0 +1,1696 @@
+package io.pearscale.bookkeeping;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.bookkeeping.CloudActor.Host;
+import io.pearscale.bookkeeping.Machine.Ended;
+import io.pearscale.bookkeeping.Machine.Life;
+import io.pearscale.bookkeeping.Placement.Stage;
+import io.pearscale.bookkeeping.Renter.Kind;
+import io.pearscale.protocol.JobSpec;
+import io.pearscale.protocol.MachineType;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.protocol.Order;
+import io.pearscale.protocol.PeerMessage.JobCount;
+import io.pearscale.protocol.Report;
+import io.pearscale.protocol.Report.TaskReport;
+import io.pearscale.protocol.ReportAnswer;
+import io.pearscale.protocol.Settings;
+import io.pearscale.protocol.Settings.Objective;
+import io.pearscale.protocol.Settings.Team;
+import io.pearscale.protocol.TaskId;
+import io.pearscale.storage.Keys;
+import io.pearscale.storage.ReplicaActor.Entry;
+import io.pearscale.storage.ReplicaActor.KeyChange;
+import io.pearscale.storage.StateClient;
+import io.pearscale.storage.StateClient.Change;
+import io.pearscale.storage.StateClient.Guard;
+import io.pearscale.transport.Actor;
+import io.pearscale.transport.Calls;
+import io.pearscale.transport.Calls.Reply;
+import io.pearscale.transport.Loop;
+import io.pearscale.transport.MessagePack;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import java.util.random.RandomGenerator;
+import org.HdrHistogram.Histogram;
+
+/**
+ * The leader's books and decisions: which job has which tasks where, what may be placed, evicted,
+ * rented and given back. On a controller that does not lead it only keeps the jobs at hand.
+ *
+ * <p>The rule that everything here serves: a task is taken to be on a machine from before its start
+ * command is sent until one of four proofs says that it is gone: a report that has seen a token
+ * above the command's, a later session, the cloud's answer to a deletion, or silence that outlasts
+ * any lease.
+ */
+public final class SchedulerActor extends Actor<SchedulerActor.Message> {
+  private static final int TERM_SHIFT = 24;
+  private static final Duration DO_TIMEOUT = Duration.ofMillis(1500);
+  private static final Duration TICK = Duration.ofMillis(250);
+  private static final Duration PASS_SPACING = Duration.ofMillis(30);
+  private static final Duration COMMIT_SPACING = Duration.ofMillis(60);
+  private static final int BODY_LIMIT = 40 * 1024;
+  private static final Duration REPEAT = Duration.ofSeconds(2);
+  private static final Duration DIRECT_PAUSE = Duration.ofSeconds(3);
+
+  /** What the actor understands. */
+  public sealed interface Message {}
+
+  /** The replica was loaded. */
+  public record Loaded(Map<String, Entry> all, long epoch) implements Message {}
+
+  /** Keys changed. */
+  public record Changed(List<KeyChange> changes, long epoch) implements Message {}
+
+  /** This controller leads. */
+  public record Won(long term, long termStamp, Instant evidence) implements Message {}
+
+  /** It still led at that time. */
+  public record Confirmed(Instant evidence) implements Message {}
+
+  /** It does not lead any more. */
+  public record Lost(long term) implements Message {}
+
+  /** A worker's report, to be answered. */
+  public record Reported(Report report, Consumer<ReportAnswer> answer) implements Message {}
+
+  private record Tick(long term) implements Message {}
+
+  private record Pass(long term) implements Message {}
+
+  private record TryCommit(long term) implements Message {}
+
+  private record Committed(long term, Batch batch, Reply reply) implements Message {}
+
+  private record TermRead(long term, Reply reply) implements Message {}
+
+  private record Done(long term, Machine machine, long token, List<Order> orders, Reply reply)
+      implements Message {}
+
+  private record CloudSaid(CloudActor.Event event) implements Message {}
+
+  /** What one transaction carries, to be noted as durable when it has been applied. */
+  private record Batch(
+      Map<Job, Map<Integer, BitSet[]>> progress,
+      Map<Machine, Boolean> hosts,
+      List<Job> finished,
+      List<String> dropped,
+      boolean catalogue) {}
+
+  private final StateClient state;
+  private final Calls calls;
+  private final Settings settings;
+  private final Tuning tuning;
+  private final RandomGenerator random;
+  private final InstantSource timeOfDay;
+  private final LongConsumer higherTerm;
+  private final Consumer<List<JobCount>> counts;
+  private final CloudActor cloud;
+  private final Map<String, Team> teams = new HashMap<>();
+  private final Duration deadline;
+
+  // Kept on every controller, fed by the replica.
+  private final Map<String, Job> jobs = new LinkedHashMap<>();
+  private final Map<String, JsonNode> rawProgress = new TreeMap<>();
+  private final Map<String, JsonNode> rawHosts = new TreeMap<>();
+  private final Map<String, MachineType> types = new LinkedHashMap<>();
+  private long epoch;
+  private boolean loaded;
+
+  // Kept while leading.
+  private boolean leading;
+  private boolean ready;
+  private long term;
+  private long termStamp;
+  private Instant wonAt = Instant.MIN;
+  private Instant evidence = Instant.MIN;
+  private long attempts;
+  private long commits;
+  private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final Set<String> gone = new LinkedHashSet<>();
+  private final Map<Job, Set<Integer>> dirty = new LinkedHashMap<>();
+  private final Set<Machine> dirtyHosts = new LinkedHashSet<>();
+  private final Set<String> garbage = new LinkedHashSet<>();
+  private final Map<String, Integer> knownCounts = new HashMap<>();
+  private Renter renter;
+  private boolean catalogueDirty;
+  private boolean committing;
+  private boolean commitPlanned;
+  private boolean passPlanned;
+  private Instant lastCommit = Instant.MIN;
+  private Instant nextRent = Instant.MIN;
+  private Instant nextCounts = Instant.MIN;
+  private Instant nextFigures = Instant.MIN;
+  private boolean settledLogged;
+  private final Map<String, Job> samples = new HashMap<>();
+  private final Histogram startMillis = new Histogram(3);
+  private final Histogram passMicros = new Histogram(3);
+
+  /**
+   * Makes the books.
+   *
+   * @param higherTerm is told of a higher term than ours
+   * @param counts is told of task counts that changed
+   */
+  public SchedulerActor(
+      Loop loop,
+      StateClient state,
+      Calls calls,
+      Settings settings,
+      Tuning tuning,
+      RandomGenerator random,
+      InstantSource timeOfDay,
+      LongConsumer higherTerm,
+      Consumer<List<JobCount>> counts) {
+    super(loop);
+    this.state = state;
+    this.calls = calls;
+    this.settings = settings;
+    this.tuning = tuning;
+    this.random = random;
+    this.timeOfDay = timeOfDay;
+    this.higherTerm = higherTerm;
+    this.counts = counts;
+    this.cloud = new CloudActor(loop, calls, settings, e -> tell(new CloudSaid(e)));
+    this.renter = new Renter(tuning);
+    settings.teams().forEach(t -> teams.put(t.name(), t));
+    this.deadline = settings.workers().lease();
+  }
+
+  @Override
+  protected void receive(Message message) {
+    if (message instanceof Reported m) {
+      m.answer.accept(reported(m.report));
+    } else if (message instanceof Changed m) {
+      m.changes.forEach(this::changed);
+      epoch = m.epoch;
+      becomeReady();
+      if (ready) {
+        schedule();
+      }
+    } else if (message instanceof Loaded m) {
+      loaded(m);
+    } else if (message instanceof Won m) {
+      won(m);
+    } else if (message instanceof Confirmed m) {
+      evidence = m.evidence;
+    } else if (message instanceof Lost) {
+      lost();
+    } else if (message instanceof CloudSaid m && leading) {
+      cloudSaid(m.event);
+    } else if (message instanceof Tick m && leading && m.term == term) {
+      tick();
+    } else if (message instanceof Pass m && leading && m.term == term) {
+      passPlanned = false;
+      if (ready) {
+        pass();
+      }
+    } else if (message instanceof TryCommit m && leading && m.term == term) {
+      commitPlanned = false;
+      commit();
+    } else if (message instanceof Committed m && leading && m.term == term) {
+      committed(m.batch, m.reply);
+    } else if (message instanceof TermRead m && leading && m.term == term) {
+      termRead(m.reply);
+    } else if (message instanceof Done m && leading && m.term == term) {
+      done(m);
+    }
+  }
+
+  private Instant now() {
+    return loop.clock().instant();
+  }
+
+  // ---- What the state service holds ----
+
+  private void loaded(Loaded m) {
+    for (String id : List.copyOf(jobs.keySet())) {
+      if (!m.all.containsKey(Keys.live(id))) {
+        removeJob(id);
+      }
+    }
+    rawProgress.clear();
+    rawHosts.clear();
+    m.all.forEach((key, entry) -> changed(new KeyChange(key, Optional.of(entry))));
+    epoch = m.epoch;
+    loaded = true;
+    becomeReady();
+  }
+
+  private void changed(KeyChange c) {
+    String key = c.key();
+    if (Keys.isLive(key)) {
+      if (c.entry().isPresent()) {
+        addJob(c.entry().get());
+      } else {
+        removeJob(Keys.name(key));
+      }
+    } else if (Keys.isProgress(key)) {
+      c.entry()
+          .ifPresentOrElse(e -> rawProgress.put(key, e.value()), () -> rawProgress.remove(key));
+    } else if (Keys.isHost(key)) {
+      c.entry().ifPresentOrElse(e -> rawHosts.put(key, e.value()), () -> rawHosts.remove(key));
+    } else if (key.equals(Keys.CATALOGUE) && c.entry().isPresent() && !leading) {
+      setTypes(MachineType.parseAll(c.entry().get().value()));
+    }
+  }
+
+  private void setTypes(List<MachineType> list) {
+    if (!list.isEmpty()) {
+      types.clear();
+      list.forEach(t -> types.put(t.name(), t));
+    }
+  }
+
+  private void addJob(Entry e) {
+    try {
+      JobSpec spec = JobSpec.parse(e.value().path("spec"));
+      if (jobs.containsKey(spec.id())) {
+        return;
+      }
+      Duration age =
+          Duration.between(
+              Instant.ofEpochMilli(e.value().path("at").asLong()), timeOfDay.instant());
+      if (age.isNegative()) {
+        age = Duration.ZERO;
+      }
+      jobs.put(spec.id(), new Job(spec, e.stamp(), now().minus(age)));
+    } catch (Malformed x) {
+      log.error("event=stored_job_unreadable reason={}", x.getMessage());
+    }
+  }
+
+  private void removeJob(String id) {
+    Job job = jobs.remove(id);
+    if (job == null || !leading) {
+      return;
+    }
+    dirty.remove(job);
+    for (Placement p : List.copyOf(job.placed.values())) {
+      doom(p);
+      kick(p.machine);
+    }
+  }
+
+  /** Progress of jobs that are over, also such as was written just after the job had ended. */
+  private void collectGarbage() {
+    for (String key : rawProgress.keySet()) {
+      if (!jobs.containsKey(Keys.name(key))) {
+        garbage.add(key);
+      }
+    }
+  }
+
+  // ---- Taking over and giving up ----
+
+  private void won(Won m) {
+    leading = true;
+    ready = false;
+    term = m.term;
+    termStamp = m.termStamp;
+    evidence = m.evidence;
+    wonAt = now();
+    attempts = 0;
+    commits = 0;
+    committing = false;
+    commitPlanned = false;
+    passPlanned = false;
+    settledLogged = false;
+    renter = new Renter(tuning);
+    cloud.tell(new CloudActor.Lead(term));
+    long t = term;
+    loop.after(TICK, () -> tell(new Tick(t)));
+    becomeReady();
+  }
+
+  private void lost() {
+    leading = false;
+    ready = false;
+    machines.clear();
+    dirty.clear();
+    dirtyHosts.clear();
+    garbage.clear();
+    knownCounts.clear();
+    cloud.tell(new CloudActor.Rest());
+    jobs.values().forEach(SchedulerActor::forget);
+  }
+
+  private static void forget(Job j) {
+    j.placed.clear();
+    j.unknown.clear();
+    j.opened.clear();
+    j.done.clear();
+    j.durableDone.clear();
+  }
+
+  /**
+   * A new leader may not decide on a copy from before its term: the last writes of its predecessor
+   * are older than the term, so a copy as new as the term has them all.
+   */
+  private void becomeReady() {
+    if (!leading || ready || !loaded || epoch < termStamp) {
+      return;
+    }
+    ready = true;
+    jobs.values().forEach(SchedulerActor::forget);
+    rawProgress.forEach(
+        (key, value) -> {
+          Job j = jobs.get(Keys.name(key));
+          if (j == null) {
+            garbage.add(key);
+          } else {
+            j.readProgress(Keys.chunk(key), value);
+          }
+        });
+    for (Job j : jobs.values()) {
+      j.unknown.or(j.opened);
+      j.unknown.andNot(j.done);
+    }
+    rawHosts.forEach(
+        (key, value) -> {
+          String name = Keys.name(key);
+          MachineType type = types.get(value.path("type").asText());
+          if (type == null) {
+            type = unknownType(value.path("type").asText());
+          }
+          Machine m =
+              new Machine(
+                  name,
+                  value.path("zone").asText(),
+                  value.path("spot").asBoolean(),
+                  type,
+                  value.path("stage").asText().equals("retiring") ? Life.RETIRING : Life.UP,
+                  now());
+          m.address = value.path("address").asText();
+          m.recorded = true;
+          m.recordedRetiring = m.life == Life.RETIRING;
+          m.everReported = true;
+          m.session = value.path("session").asLong(1);
+          enlist(m);
+          probe(m);
+        });
+    log.info(
+        "event=takeover term={} jobs={} roster={} unseen_tasks={}",
+        term,
+        jobs.size(),
+        machines.size(),
+        jobs.values().stream().mapToInt(j -> j.unknown.cardinality()).sum());
+    releaseUnknown();
+    schedule();
+  }
+
+  private static MachineType unknownType(String name) {
+    return new MachineType(name, 0, 0, 0, 0, 0.1, 0, 0, Duration.ofSeconds(60), List.of());
+  }
+
+  private void enlist(Machine m) {
+    m.token = (term << TERM_SHIFT) + 1;
+    // A former leader may have renewed the lease for as long as its proof held.
+    m.renewed = wonAt.plus(settings.hold());
+    machines.put(m.name, m);
+  }
+
+  /** Tasks that were not seen are nowhere, once every machine that could hold them has spoken. */
+  private void releaseUnknown() {
+    for (Machine m : machines.values()) {
+      if (!m.settled && m.recorded) {
+        return;
+      }
+    }
+    if (!settledLogged) {
+      settledLogged = true;
+      log.info(
+          "event=rebuilt term={} after_ms={}", term, Duration.between(wonAt, now()).toMillis());
+      jobs.values().forEach(j -> j.unknown.clear());
+      schedule();
+    }
+  }
+
+  // ---- Reports ----
+
+  private ReportAnswer reported(Report r) {
+    if (!leading || !ready || !now().isBefore(evidence.plus(settings.hold()))) {
+      return ReportAnswer.UNAVAILABLE;
+    }
+    if (r.token() >> TERM_SHIFT > term) {
+      log.warn("event=report_of_higher_term machine={} token={}", r.machine(), r.token());
+      higherTerm.accept(r.token() >> TERM_SHIFT);
+      return ReportAnswer.UNAVAILABLE;
+    }
+    Machine m = machineOf(r);
+    if (m == null || !r.newerThan(m.session, m.sequence)) {
+      log.debug("event=report_dropped machine={}", r.machine());
+      return ReportAnswer.UNAVAILABLE;
+    }
+    absorb(m, r);
+    m.renewed = now();
+    List<Order> orders = m.settled && r.token() <= m.token ? orders(m, true) : List.of();
+    kick(m);
+    return new ReportAnswer(200, m.token, orders);
+  }
+
+  private Machine machineOf(Report r) {
+    Machine m = machines.get(r.machine());
+    if (m == null) {
+      if (gone.contains(r.machine())) {
+        return null;
+      }
+      MachineType type = types.getOrDefault(r.type(), unknownType(r.type()));
+      m = new Machine(r.machine(), r.zone(), r.spot(), type, Life.UP, now());
+      enlist(m);
+      log.info("event=machine_unexpected term={} machine={}", term, m.name);
+    }
+    return m;
+  }
+
+  /** Takes in what a worker says, from whichever way it came. The message must be a newer one. */
+  private void absorb(Machine m, Report r) {
+    Instant now = now();
+    m.session = r.session();
+    m.sequence = r.sequence();
+    m.seenToken = Math.max(m.seenToken, r.token());
+    m.address = r.address();
+    m.heard = now;
+    if (m.life == Life.BOOTING) {
+      m.life = Life.UP;
+    }
+    if (!m.everReported) {
+      m.everReported = true;
+      log.info(
+          "event=machine_up term={} machine={} type={} zone={} spot={} after_ms={}",
+          term,
+          m.name,
+          m.type.name(),
+          m.zone,
+          m.spot,
+          Duration.between(m.rented, now).toMillis());
+    }
+    m.lost = false;
+    if (!m.settled && r.token() >> TERM_SHIFT == term) {
+      m.settled = true;
+    }
+    if (r.notice().isPresent() && m.takenAt.isEmpty()) {
+      log.info("event=spot_notice term={} machine={} left={}", term, m.name, r.notice().get());
+    }
+    m.takenAt = r.notice().map(now::plus);
+    m.ended.clear();
+    Map<Ended, Instant> oldForeign = new HashMap<>(m.foreign);
+    m.foreign.clear();
+    Set<Placement> seen = new HashSet<>();
+    for (TaskReport t : r.tasks()) {
+      Ended key = new Ended(t.task(), t.attempt());
+      Job job = jobs.get(t.task().job());
+      if (job != null && t.task().index() >= job.spec.tasks()) {
+        job = null;
+      }
+      Placement p = m.placements.get(t.task());
+      if (p != null && p.attempt != t.attempt()) {
+        p = null;
+      }
+      if (t.stage() == Report.Stage.ENDED) {
+        m.ended.put(key, Boolean.TRUE);
+        if (p != null) {
+          remove(p);
+        }
+        ended(m, job, t, p);
+      } else if (p != null) {
+        seen.add(p);
+        progress(p, t.stage());
+      } else if (job == null || job.done.get(t.task().index())) {
+        m.foreign.put(key, oldForeign.getOrDefault(key, Instant.MIN));
+      } else {
+        Placement other = job.placed.get(t.task().index());
+        if (other != null && other.stage == Stage.PLANNED) {
+          remove(other);
+          other = null;
+        }
+        if (other != null) {
+          log.error(
+              "event=task_twice task={} machine={} other={}", t.task(), m.name, other.machine.name);
+          m.foreign.put(key, oldForeign.getOrDefault(key, Instant.MIN));
+        } else {
+          Placement adopted =
+              new Placement(job, t.task(), t.attempt(), m, Stage.SENT, job.submitted);
+          adopted.token = r.token();
+          adopted.session = r.session();
+          add(adopted);
+          job.unknown.clear(t.task().index());
+          seen.add(adopted);
+          progress(adopted, t.stage());
+        }
+      }
+    }
+    for (Placement p : List.copyOf(m.placements.values())) {
+      // Not in the report: gone only if no command for it can still be on its way.
+      if (p.stage != Stage.PLANNED
+          && !seen.contains(p)
+          && (p.confirmed || p.session < r.session() || p.token < r.token())) {
+        remove(p);
+      }
+    }
+    if (m.takenAt.isPresent()) {
+      drain(m);
+    }
+    releaseUnknown();
+    schedule();
+  }
+
+  private void progress(Placement p, Report.Stage stage) {
+    if (!p.confirmed) {
+      p.confirmed = true;
+    }
+    Stage before = p.stage;
+    p.stage =
+        switch (stage) {
+          case FETCHING -> Stage.FETCHING;
+          case FLUSHING -> Stage.SAVING;
+          default -> Stage.RUNNING;
+        };
+    if (p.stage == Stage.RUNNING && before != Stage.RUNNING) {
+      p.machine.noteImage(p.job.spec.image(), p.job.spec.imageGb());
+      Instant now = now();
+      if (before == Stage.SENT || before == Stage.FETCHING) {
+        startMillis.recordValue(
+            Math.max(0, Math.min(3_600_000, Duration.between(p.since, now).toMillis())));
+      }
+      p.since = now;
+    }
+  }
+
+  private void ended(Machine m, Job job, TaskReport t, Placement p) {
+    if (job == null) {
+      return;
+    }
+    switch (t.cause()) {
+      case "done" -> {
+        job.succeeded = true;
+        m.errors = 0;
+        m.errorJobs.clear();
+        if (!job.spec.service() && !job.done.get(t.task().index())) {
+          Placement other = job.placed.get(t.task().index());
+          if (other != null) {
+            doom(other);
+          }
+          job.done.set(t.task().index());
+          job.unknown.clear(t.task().index());
+          mark(job, t.task().index());
+        }
+      }
+      case "error" -> {
+        if (p != null) {
+          failed(m, job);
+        }
+      }
+      default -> {
+        if (p != null && !t.cause().equals("stopped")) {
+          log.info(
+              "event=start_refused term={} machine={} task={} attempt={} cause={}",
+              term,
+              m.name,
+              t.task(),
+              t.attempt(),
+              t.cause());
+          // The books were wrong about this machine or job: look elsewhere for a moment.
+          if (t.cause().equals("no_such")) {
+            job.notBefore = now().plusSeconds(2);
+          } else {
+            m.avoidUntil = now().plusSeconds(2);
+          }
+        }
+      }
+    }
+  }
+
+  /**
+   * Errors of several jobs on one machine point at the machine; errors of one job on several
+   * machines point at the job. Both are counted, and until it is clear both are given a rest.
+   */
+  private void failed(Machine m, Job job) {
+    Instant now = now();
+    m.errors++;
+    m.errorJobs.add(job.spec.id());
+    job.failedOn.add(m.name);
+    m.avoidUntil = now.plusSeconds(Math.min(60, 5L << Math.min(4, m.errors)));
+    boolean jobsFault = !job.succeeded && job.failedOn.size() >= 3 && m.errorJobs.size() < 2;
+    if (jobsFault) {
+      job.notBefore = now.plusSeconds(Math.min(60, 1L << Math.min(6, job.failedOn.size())));
+      m.avoidUntil = Instant.MIN;
+    } else if (!m.faulty && (m.errorJobs.size() >= 2 || m.errors >= 3)) {
+      m.faulty = true;
+      log.warn("event=machine_faulty term={} machine={} errors={}", term, m.name, m.errors);
+    }
+  }
+
+  /** A machine that will be taken: saves what can be saved and moves what can't finish. */
+  private void drain(Machine m) {
+    Instant now = now();
+    Duration left = Duration.between(now, m.takenAt.orElse(now));
+    for (Placement p : List.copyOf(m.placements.values())) {
+      if (p.doomed) {
+        continue;
+      }
+      JobSpec s = p.job.spec;
+      boolean saves = !s.checkpoint().isZero();
+      Duration ran = Duration.between(p.since, now);
+      boolean running = p.stage == Stage.RUNNING;
+      Duration remaining = running ? s.estimate().minus(ran) : s.estimate();
+      if (saves ? left.compareTo(s.save().plusSeconds(4)) < 0 || !running : false) {
+        doom(p);
+      } else if (s.service() || (!saves && remaining.compareTo(left.multipliedBy(2)) > 0)) {
+        doom(p);
+      }
+    }
+  }
+
+  private void add(Placement p) {
+    p.machine.placements.put(p.task, p);
+    p.machine.idleSince = Instant.MAX;
+    p.job.placed.put(p.task.index(), p);
+  }
+
+  private void remove(Placement p) {
+    p.machine.placements.remove(p.task, p);
+    p.job.placed.remove(p.task.index(), p);
+    if (!p.machine.settled && p.stage != Stage.PLANNED && !p.job.done.get(p.task.index())) {
+      // A former leader's command may yet start another attempt here: not free before it is known.
+      p.job.unknown.set(p.task.index());
+    }
+    schedule();
+  }
+
+  /** Decides that a placement must go. */
+  private void doom(Placement p) {
+    if (p.stage == Stage.PLANNED) {
+      remove(p);
+      return;
+    }
+    if (p.doomed) {
+      return;
+    }
+    p.doomed = true;
+    if (!p.confirmed && !p.machine.calling) {
+      // The start command may still be on its way; only a higher token can overtake it.
+      raise(p.machine);
+    }
+  }
+
+  private void raise(Machine m) {
+    m.token++;
+  }
+
+  private void mark(Job job, int index) {
+    dirty.computeIfAbsent(job, j -> new HashSet<>()).add(index / Job.CHUNK);
+    planCommit();
+  }
+
+  // ---- The pass ----
+
+  private void schedule() {
+    if (!passPlanned && leading) {
+      passPlanned = true;
+      long t = term;
+      loop.after(PASS_SPACING, () -> tell(new Pass(t)));
+    }
+  }
+
+  private boolean placeable(Machine m, Instant now) {
+    return m.life == Life.UP
+        && m.settled
+        && !m.lost
+        && !m.faulty
+        && m.takenAt.isEmpty()
+        && m.everReported
+        && !now.isBefore(m.avoidUntil)
+        && Duration.between(m.heard, now)
+                .compareTo(settings.workers().report().multipliedBy(2).plusSeconds(1))
+            < 0;
+  }
+
+  private Map<String, Placer.Use> uses() {
+    Map<String, Placer.Use> uses = new HashMap<>();
+    for (Machine m : machines.values()) {
+      for (Placement p : m.placements.values()) {
+        charge(uses, p.job.spec, 1);
+      }
+    }
+    for (Job j : jobs.values()) {
+      if (!j.unknown.isEmpty()) {
+        charge(uses, j.spec, j.unknown.cardinality());
+      }
+    }
+    return uses;
+  }
+
+  private static void charge(Map<String, Placer.Use> uses, JobSpec s, int n) {
+    Placer.Use u = uses.computeIfAbsent(s.team(), k -> new Placer.Use());
+    u.cpus += n * s.cpus();
+    u.gpus += n * s.gpus();
+  }
+
+  /** When a job should be over: its own deadline, or what its class is expected to keep. */
+  private Instant due(Job j) {
+    if (j.spec.deadline().isPresent()) {
+      return j.submitted.plus(j.spec.deadline().get());
+    }
+    for (Objective o : settings.objectives()) {
+      if (o.kind().equals("finished") && o.jobClass().equals(j.spec.jobClass())) {
+        return j.submitted.plus(o.within());
+      }
+    }
+    return j.submitted.plus(Duration.ofHours(1));
+  }
+
+  /** Waiting jobs, in the order in which they are decided. */
+  private List<Job> waiting(Instant now) {
+    record Ranked(Job job, int lateness, Instant due) {}
+    List<Ranked> ranked = new ArrayList<>();
+    for (Job j : jobs.values()) {
+      if (!now.isBefore(j.notBefore) && j.pending() > 0) {
+        Instant due = due(j);
+        Instant end = now.plus(j.spec.estimate());
+        Duration allowed = Duration.between(j.submitted, due);
+        int lateness =
+            j.spec.service() || !end.isAfter(due)
+                ? 0
+                : end.isAfter(j.submitted.plus(allowed.multipliedBy(3).dividedBy(2))) ? 2 : 1;
+        ranked.add(new Ranked(j, lateness, due));
+      }
+    }
+    ranked.sort(
+        Comparator.comparing((Ranked r) -> r.job.spec.priority(), Comparator.reverseOrder())
+            .thenComparing(r -> r.lateness)
+            .thenComparing(r -> r.job.spec.service() ? r.job.submitted : r.due)
+            .thenComparing(r -> r.job.spec.id()));
+    List<Job> result = new ArrayList<>();
+    ranked.forEach(r -> result.add(r.job));
+    return result;
+  }
+
+  private void pass() {
+    Instant now = now();
+    long began = System.nanoTime();
+    List<Job> waiting = waiting(now);
+    if (!waiting.isEmpty()) {
+      List<Machine> usable = new ArrayList<>();
+      for (Machine m : machines.values()) {
+        if (placeable(m, now)) {
+          usable.add(m);
+        }
+      }
+      Placer placer = new Placer(tuning, random, teams, usable, uses(), now);
+      Set<Machine> touched = new LinkedHashSet<>();
+      for (Job j : waiting) {
+        place(placer, j, touched, now);
+      }
+      touched.forEach(this::kick);
+    }
+    dispatchAll();
+    passMicros.recordValue(Math.min(3_600_000_000L, (System.nanoTime() - began) / 1000));
+  }
+
+  private void place(Placer placer, Job j, Set<Machine> touched, Instant now) {
+    for (int i = j.nextPending(0); i >= 0; i = j.nextPending(i + 1)) {
+      Optional<Placer.Choice> choice = placer.place(j);
+      if (choice.isEmpty()) {
+        return;
+      }
+      Machine m = choice.get().machine();
+      for (Placement victim : choice.get().victims()) {
+        log.info(
+            "event=evict term={} machine={} task={} attempt={} for={}/{}",
+            term,
+            m.name,
+            victim.task,
+            victim.attempt,
+            j.spec.id(),
+            i);
+        doom(victim);
+        touched.add(m);
+      }
+      Placement p =
+          new Placement(
+              j,
+              new TaskId(j.spec.id(), i),
+              (term << TERM_SHIFT) + (++attempts),
+              m,
+              Stage.PLANNED,
+              now);
+      add(p);
+      if (!j.opened.get(i)) {
+        mark(j, i);
+      }
+      if (!m.recorded) {
+        dirtyHosts.add(m);
+        planCommit();
+      }
+    }
+  }
+
+  /** Sends start commands for all that is decided, durable and has its room free. */
+  private void dispatchAll() {
+    for (Machine m : machines.values()) {
+      if (!m.placements.isEmpty()) {
+        kick(m);
+      }
+    }
+  }
+
+  /** Placements that may be started now; they count as sent from here on. */
+  private List<Order> starts(Machine m) {
+    List<Order> orders = new ArrayList<>();
+    if (!m.recorded || m.life != Life.UP || !m.settled || m.lost) {
+      return orders;
+    }
+    Machine.Room room = null;
+    for (Placement p : List.copyOf(m.placements.values())) {
+      if (p.stage != Stage.PLANNED || !p.job.opened.get(p.task.index())) {
+        continue;
+      }
+      if (room == null) {
+        room = m.physicalRoom();
+      }
+      if (!room.fits(p.job) || !leads()) {
+        continue;
+      }
+      room.take(p.job);
+      p.stage = Stage.SENT;
+      p.token = m.token;
+      p.session = m.session;
+      orders.add(Order.run(p.task, p.attempt));
+    }
+    return orders;
+  }
+
+  private boolean leads() {
+    return leading && now().isBefore(evidence.plus(settings.hold()));
+  }
+
+  /** All that the worker has to be told now. */
+  private List<Order> orders(Machine m, boolean inAnswer) {
+    Instant now = now();
+    List<Order> orders = new ArrayList<>();
+    m.foreign.forEach(
+        (key, sent) -> {
+          orders.add(Order.kill(key.task(), key.attempt(), Duration.ZERO));
+          m.foreign.put(key, now);
+        });
+    for (Placement p : m.placements.values()) {
+      if (p.doomed) {
+        Duration wait = p.kills == 0 ? Duration.ZERO : REPEAT.plus(p.job.spec.save());
+        if (Duration.between(p.killSent, now).compareTo(wait) >= 0 || p.kills == 0) {
+          orders.add(Machine.kill(p));
+          p.killSent = now;
+          p.kills++;
+        }
+      } else if (inAnswer && p.stage == Stage.SENT && !p.confirmed && !m.calling) {
+        // The direct command seems lost. The same attempt can't run twice, whatever comes late.
+        p.token = m.token;
+        p.session = m.session;
+        orders.add(Order.run(p.task, p.attempt));
+      }
+    }
+    // After a clear the worker would take a late start command for a new one: only clear when
+    // no command without an answer can still come.
+    if (!m.calling && !m.inDoubt()) {
+      for (Ended e : m.ended.keySet()) {
+        Job job = jobs.get(e.task().job());
+        if (job == null
+            || !job.done.get(e.task().index())
+            || job.durableDone.get(e.task().index())) {
+          orders.add(Order.clear(e.task(), e.attempt()));
+        }
+      }
+    }
+    orders.addAll(starts(m));
+    return orders;
+  }
+
+  // ---- Direct commands ----
+
+  private boolean wantsCall(Machine m) {
+    if (!m.foreign.isEmpty() && m.foreign.containsValue(Instant.MIN)) {
+      return true;
+    }
+    for (Placement p : m.placements.values()) {
+      if (p.doomed && p.kills == 0) {
+        return true;
+      }
+      if (p.stage == Stage.PLANNED && p.job.opened.get(p.task.index()) && m.recorded) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Sends what is due straight to the worker, unless a call is under way or just failed. */
+  private void kick(Machine m) {
+    if (!ready
+        || m.calling
+        || !m.settled
+        || m.lost
+        || m.address.isEmpty()
+        || m.life != Life.UP
+        || now().isBefore(m.directAfter)
+        || !leads()
+        || !wantsCall(m)) {
+      return;
+    }
+    List<Order> orders = orders(m, false);
+    if (!orders.isEmpty()) {
+      send(m, orders);
+    }
+  }
+
+  /** Asks a machine of the roster for its state, and shows it our token on the way. */
+  private void probe(Machine m) {
+    if (!m.calling && !m.address.isEmpty()) {
+      send(m, List.of());
+    }
+  }
+
+  private void send(Machine m, List<Order> orders) {
+    m.calling = true;
+    long token = m.token;
+    ObjectNode body = MessagePack.map().put("baton", token).put("stint", m.session);
+    var list = body.putArray("orders");
+    orders.forEach(o -> list.add(o.toNode()));
+    long t = term;
+    calls.call(
+        m.address,
+        "POST",
+        "/do",
+        body,
+        DO_TIMEOUT,
+        reply -> tell(new Done(t, m, token, orders, reply)));
+  }
+
+  private void done(Done d) {
+    Machine m = d.machine;
+    m.calling = false;
+    if (machines.get(m.name) != m) {
+      return;
+    }
+    if (d.reply.status() == 200 || d.reply.status() == 409) {
+      try {
+        Report r = Report.parse(d.reply.body());
+        if (!r.machine().equals(m.name)) {
+          throw new Malformed("answer of another machine");
+        }
+        if (r.token() >> TERM_SHIFT > term) {
+          higherTerm.accept(r.token() >> TERM_SHIFT);
+          return;
+        }
+        if (d.reply.status() == 409) {
+          refused(m, d);
+        }
+        boolean wasSettled = m.settled;
+        if (r.newerThan(m.session, m.sequence)) {
+          absorb(m, r);
+        }
+        if (!wasSettled && !m.settled && d.reply.status() == 409) {
+          probe(m);
+        } else {
+          kick(m);
+        }
+        return;
+      } catch (Malformed e) {
+        log.warn("event=worker_answer_malformed machine={} reason={}", m.name, e.getMessage());
+      }
+    }
+    if (d.orders.isEmpty() && !m.settled) {
+      m.directAfter = now().plus(DIRECT_PAUSE);
+      return;
+    }
+    // It may have been executed, or be executed later: a higher token puts an end to that.
+    m.doubtToken = Math.max(m.doubtToken, d.token);
+    raise(m);
+    m.directAfter = now().plus(DIRECT_PAUSE);
+    log.info("event=command_in_doubt term={} machine={} token={}", term, m.name, d.token);
+  }
+
+  /** The worker executed nothing: its starts go back to where they were, unless sent otherwise. */
+  private void refused(Machine m, Done d) {
+    for (Order o : d.orders) {
+      Placement p = m.placements.get(o.task());
+      if (p == null || p.attempt != o.attempt()) {
+        continue;
+      }
+      if (o.verb() == Order.Verb.KILL) {
+        p.kills = 0;
+      } else if (o.verb() == Order.Verb.RUN && !p.confirmed && p.token == d.token) {
+        if (p.doomed) {
+          remove(p);
+        } else {
+          p.stage = Stage.PLANNED;
+        }
+      }
+    }
+  }
+
+  // ---- Writing ----
+
+  private void planCommit() {
+    if (commitPlanned || committing || !leading) {
+      return;
+    }
+    commitPlanned = true;
+    Duration since =
+        lastCommit.equals(Instant.MIN) ? COMMIT_SPACING : Duration.between(lastCommit, now());
+    Duration wait = COMMIT_SPACING.minus(since);
+    long t = term;
+    if (wait.isNegative() || wait.isZero()) {
+      // After this message: what the rest of the pass decides goes along.
+      loop.execute(() -> tell(new TryCommit(t)));
+    } else {
+      loop.after(wait, () -> tell(new TryCommit(t)));
+    }
+  }
+
+  /** Writes all that is due in one transaction, guarded by the term. */
+  private void commit() {
+    if (committing || !ready) {
+      return;
+    }
+    int most = settings.stateLimits().txnOps();
+    List<Guard> guards = new ArrayList<>();
+    List<Change> changes = new ArrayList<>();
+    Batch batch =
+        new Batch(
+            new LinkedHashMap<>(),
+            new LinkedHashMap<>(),
+            new ArrayList<>(),
+            new ArrayList<>(),
+            catalogueDirty && !types.isEmpty());
+    guards.add(new Guard(Keys.TERM, termStamp));
+    // The term's key changes each time: a transaction that comes late finds another stamp and
+    // can't put old progress over new.
+    changes.add(
+        Change.write(Keys.TERM, MessagePack.map().put("term", term).put("commit", ++commits)));
+    int size = 512;
+    if (batch.catalogue) {
+      ObjectNode body = MessagePack.map();
+      var list = body.putArray("breeds");
+      types.values().forEach(t -> list.add(t.toNode()));
+      if (body.toString().length() < settings.stateLimits().valueBytes()) {
+        changes.add(Change.write(Keys.CATALOGUE, body));
+        size += body.toString().length();
+      }
+    }
+    for (Iterator<Machine> it = dirtyHosts.iterator(); it.hasNext() && changes.size() < most; ) {
+      Machine m = it.next();
+      if (machines.get(m.name) != m) {
+        it.remove();
+        continue;
+      }
+      changes.add(Change.write(Keys.host(m.name), hostValue(m)));
+      batch.hosts.put(m, m.life == Life.RETIRING);
+      size += 300;
+    }
+    for (Map.Entry<Job, Set<Integer>> e : dirty.entrySet()) {
+      Job j = e.getKey();
+      int chunks = (j.spec.tasks() + Job.CHUNK - 1) / Job.CHUNK;
+      if (j.complete()) {
+        if (changes.size() + 2 + chunks > most) {
+          break;
+        }
+        guards.add(new Guard(Keys.live(j.spec.id()), j.stamp));
+        changes.add(Change.drop(Keys.live(j.spec.id())));
+        changes.add(
+            Change.write(
+                Keys.past(j.spec.id()),
+                MessagePack.map().put("stage", "done").put("pieces", j.spec.tasks())));
+        for (int c = 0; c < chunks; c++) {
+          changes.add(Change.drop(Keys.progress(j.spec.id(), c)));
+        }
+        batch.finished.add(j);
+        size += 400 + 100 * chunks;
+        continue;
+      }
+      for (int c : e.getValue()) {
+        if (changes.size() >= most || size > BODY_LIMIT) {
+          break;
+        }
+        BitSet opened = (BitSet) j.opened.clone();
+        for (Placement p : j.placed.values()) {
+          opened.set(p.task.index());
+        }
+        BitSet done = (BitSet) j.done.clone();
+        Job image = new Job(j.spec, j.stamp, j.submitted);
+        image.opened.or(opened);
+        image.done.or(done);
+        JsonNode value = image.progress(c);
+        changes.add(Change.write(Keys.progress(j.spec.id(), c), value));
+        size += value.toString().length() + 100;
+        batch
+            .progress
+            .computeIfAbsent(j, k -> new HashMap<>())
+            .put(c, new BitSet[] {slice(opened, c), slice(done, c)});
+      }
+      if (changes.size() >= most || size > BODY_LIMIT) {
+        break;
+      }
+    }
+    for (Iterator<String> it = garbage.iterator(); it.hasNext() && changes.size() < most; ) {
+      String key = it.next();
+      changes.add(Change.drop(key));
+      batch.dropped.add(key);
+    }
+    if (changes.size() == 1) {
+      return;
+    }
+    committing = true;
+    lastCommit = now();
+    long t = term;
+    state.commit(guards, changes, reply -> tell(new Committed(t, batch, reply)));
+  }
+
+  private static BitSet slice(BitSet bits, int chunk) {
+    BitSet s = new BitSet();
+    s.or(bits);
+    s.clear(0, chunk * Job.CHUNK);
+    if (s.length() > (chunk + 1) * Job.CHUNK) {
+      s.clear((chunk + 1) * Job.CHUNK, s.length());
+    }
+    return s;
+  }
+
+  private static JsonNode hostValue(Machine m) {
+    return MessagePack.map()
+        .put("stage", m.life == Life.RETIRING ? "retiring" : "usable")
+        .put("address", m.address)
+        .put("type", m.type.name())
+        .put("zone", m.zone)
+        .put("spot", m.spot)
+        .put("session", m.session);
+  }
+
+  private void committed(Batch b, Reply reply) {
+    if (reply.ok()) {
+      committing = false;
+      termStamp = reply.body().path("epoch").asLong(termStamp);
+      applied(b);
+      if (workToWrite()) {
+        planCommit();
+      }
+      return;
+    }
+    List<String> failed = reply.status() == 409 ? StateClient.failedGuards(reply) : List.of();
+    if (reply.status() == 409 && !failed.contains(Keys.TERM)) {
+      // Somebody was faster with these jobs, by cancelling them; the watch brings the news.
+      committing = false;
+      for (Job j : b.finished) {
+        if (failed.contains(Keys.live(j.spec.id()))) {
+          dirty.remove(j);
+        }
+      }
+      planCommit();
+      return;
+    }
+    long t = term;
+    if (reply.status() == 409 || reply.status() == 0) {
+      loop.after(
+          reply.status() == 0 ? Duration.ofMillis(300) : Duration.ofMillis(1),
+          () -> state.read(Keys.TERM, r -> tell(new TermRead(t, r))));
+      return;
+    }
+    log.info("event=commit_put_off term={} status={}", term, reply.status());
+    committing = false;
+    retryCommit();
+  }
+
+  private void retryCommit() {
+    commitPlanned = true;
+    long t = term;
+    loop.after(Duration.ofMillis(150 + random.nextInt(200)), () -> tell(new TryCommit(t)));
+  }
+
+  /** After a transaction of unknown outcome: is the term still ours, and at which stamp? */
+  private void termRead(Reply reply) {
+    if (reply.ok()) {
+      long found = reply.body().path("value").path("term").asLong();
+      if (found > term) {
+        higherTerm.accept(found);
+        return;
+      }
+      // Applied or not: what is due is still marked as due and goes out again, guarded by the
+      // stamp as it is now. Should the old transaction come after all, it will find another one.
+      termStamp = reply.body().path("stamp").asLong(termStamp);
+      committing = false;
+      retryCommit();
+      return;
+    }
+    long t = term;
+    loop.after(
+        Duration.ofMillis(300 + random.nextInt(200)),
+        () -> state.read(Keys.TERM, r -> tell(new TermRead(t, r))));
+  }
+
+  private boolean workToWrite() {
+    return !dirty.isEmpty() || !dirtyHosts.isEmpty() || !garbage.isEmpty();
+  }
+
+  private void applied(Batch b) {
+    b.progress.forEach(
+        (job, chunks) ->
+            chunks.forEach(
+                (chunk, bits) -> {
+                  job.opened.or(bits[0]);
+                  job.durableDone.or(bits[1]);
+                  settleDirty(job, chunk);
+                }));
+    b.hosts.forEach(
+        (m, retiring) -> {
+          m.recorded = true;
+          m.recordedRetiring = retiring;
+          if (retiring == (m.life == Life.RETIRING)) {
+            dirtyHosts.remove(m);
+          }
+        });
+    for (Job j : b.finished) {
+      dirty.remove(j);
+      jobs.remove(j.spec.id());
+      j.durableDone.or(j.done);
+      log.info(
+          "event=job_done term={} job={} after_ms={}",
+          term,
+          j.spec.id(),
+          Duration.between(j.submitted, now()).toMillis());
+      for (Placement p : List.copyOf(j.placed.values())) {
+        doom(p);
+      }
+    }
+    b.dropped.forEach(garbage::remove);
+    if (b.catalogue) {
+      catalogueDirty = false;
+    }
+    dispatchAll();
+    deleteRetired();
+  }
+
+  /** A chunk stays due while it holds anything that the last write didn't carry. */
+  private void settleDirty(Job job, int chunk) {
+    Set<Integer> chunks = dirty.get(job);
+    if (chunks == null || job.complete()) {
+      return;
+    }
+    for (Placement p : job.placed.values()) {
+      if (p.task.index() / Job.CHUNK == chunk && !job.opened.get(p.task.index())) {
+        return;
+      }
+    }
+    BitSet missing = slice(job.done, chunk);
+    missing.andNot(job.durableDone);
+    if (missing.isEmpty()) {
+      chunks.remove(chunk);
+      if (chunks.isEmpty()) {
+        dirty.remove(job);
+      }
+    }
+  }
+
+  // ---- Time ----
+
+  private void tick() {
+    long t = term;
+    loop.after(TICK, () -> tell(new Tick(t)));
+    if (!ready) {
+      return;
+    }
+    Instant now = now();
+    for (Machine m : List.copyOf(machines.values())) {
+      watch(m, now);
+    }
+    releaseUnknown();
+    schedule();
+    if (now.isAfter(nextRent)) {
+      nextRent = now.plusSeconds(1);
+      rent(now);
+    }
+    if (now.isAfter(nextCounts)) {
+      nextCounts = now.plusSeconds(1);
+      collectGarbage();
+      tellCounts();
+    }
+    if (now.isAfter(nextFigures)) {
+      nextFigures = now.plusSeconds(60);
+      log.info(
+          "event=figures term={} jobs={} machines={} start_ms_p50={} start_ms_p99={} pass_us_p50={}"
+              + " pass_us_p99={}",
+          term,
+          jobs.size(),
+          machines.size(),
+          startMillis.getValueAtPercentile(50),
+          startMillis.getValueAtPercentile(99),
+          passMicros.getValueAtPercentile(50),
+          passMicros.getValueAtPercentile(99));
+      startMillis.reset();
+      passMicros.reset();
+    }
+    if (workToWrite()) {
+      planCommit();
+    }
+  }
+
+  /** Looks after one machine: silence, death, idling. */
+  private void watch(Machine m, Instant now) {
+    if (m.everReported && !m.lost && !m.renewed.equals(Instant.MIN) && leaseOver(m, now)) {
+      // Silent for longer than any lease that was ever renewed: nothing can be alive there.
+      m.lost = true;
+      m.settled = true;
+      m.ended.clear();
+      m.foreign.clear();
+      int dropped = m.placements.size();
+      for (Placement p : List.copyOf(m.placements.values())) {
+        remove(p);
+      }
+      log.warn("event=machine_lost term={} machine={} tasks={}", term, m.name, dropped);
+    }
+    if (!m.settled && !m.calling && m.everReported && now.isAfter(m.directAfter)) {
+      probe(m);
+    }
+    if (m.calling || m.life != Life.UP) {
+      m.idleSince = Instant.MAX;
+    } else if (m.placements.isEmpty()) {
+      if (m.idleSince.equals(Instant.MAX)) {
+        m.idleSince = now;
+      }
+    }
+    if (!m.faulty && m.takenAt.isEmpty() && m.life == Life.UP) {
+      if (now.isAfter(m.heard.plus(settings.workers().report().multipliedBy(4)))) {
+        unplan(m);
+      }
+    } else {
+      unplan(m);
+    }
+    boolean neverCame =
+        m.life == Life.BOOTING
+            && now.isAfter(m.rented.plus(m.type.boot().multipliedBy(4)).plusSeconds(5));
+    boolean silentLong =
+        m.lost && now.isAfter(m.heard.plus(deadline).plus(deadline)) && m.life == Life.UP;
+    boolean takenAway =
+        m.takenAt.isPresent()
+            && now.isAfter(m.takenAt.get().plusSeconds(2))
+            && now.isAfter(m.heard.plusSeconds(3));
+    boolean faultyEmpty = m.faulty && m.life == Life.UP && m.placements.isEmpty();
+    if (neverCame || silentLong || takenAway || faultyEmpty) {
+      retire(m, neverCame ? "never_came" : takenAway ? "taken" : faultyEmpty ? "faulty" : "silent");
+    }
+  }
+
+  /** Takes back what was decided for a machine that turned bad before the start was sent. */
+  private void unplan(Machine m) {
+    for (Placement p : List.copyOf(m.placements.values())) {
+      if (p.stage == Stage.PLANNED) {
+        remove(p);
+      }
+    }
+  }
+
+  private boolean leaseOver(Machine m, Instant now) {
+    Duration lease = settings.workers().lease();
+    // Steady clocks differ by up to 0.05 % each; twice that and a second on top.
+    return now.isAfter(m.renewed.plus(lease).plus(lease.dividedBy(500)).plusSeconds(1));
+  }
+
+  private void retire(Machine m, String why) {
+    if (m.life != Life.RETIRING) {
+      log.info("event=give_back term={} machine={} why={}", term, m.name, why);
+      m.life = Life.RETIRING;
+      dirtyHosts.add(m);
+      planCommit();
+    }
+  }
+
+  private void deleteRetired() {
+    List<String> names = new ArrayList<>();
+    for (Machine m : machines.values()) {
+      if (m.life == Life.RETIRING && m.recordedRetiring && !m.deleteSent && names.size() < 100) {
+        m.deleteSent = true;
+        names.add(m.name);
+      }
+    }
+    if (!names.isEmpty()) {
+      cloud.tell(new CloudActor.Delete(names));
+    }
+  }
+
+  private void tellCounts() {
+    List<JobCount> changed = new ArrayList<>();
+    for (Job j : jobs.values()) {
+      int done = j.done.cardinality();
+      int running = j.running();
+      int key = done * 100_003 + running;
+      Integer before = knownCounts.put(j.spec.id(), key);
+      if (before == null || before != key) {
+        changed.add(new JobCount(j.spec.id(), done, running));
+      }
+    }
+    if (knownCounts.size() > jobs.size() + 1000) {
+      knownCounts.keySet().retainAll(jobs.keySet());
+    }
+    if (!changed.isEmpty()) {
+      counts.accept(changed);
+    }
+  }
+
+  // ---- Renting ----
+
+  private void rent(Instant now) {
+    deleteRetired();
+    if (types.isEmpty()) {
+      return;
+    }
+    List<Machine> coming = new ArrayList<>();
+    List<Machine> usable = new ArrayList<>();
+    for (Machine m : machines.values()) {
+      if (m.life == Life.BOOTING && now.isBefore(m.rented.plus(Renter.patience(m.type)))) {
+        coming.add(m);
+      } else if (placeable(m, now)) {
+        usable.add(m);
+      }
+    }
+    List<Renter.Demand> demands = new ArrayList<>();
+    for (Job j : waiting(now)) {
+      if (j.spec.spread()) {
+        // Each zone may take its part only.
+        Set<String> zones = new LinkedHashSet<>();
+        types.values().forEach(t -> zones.addAll(t.zones()));
+        int left = j.pending();
+        for (String zone : zones) {
+          int n = Math.min(left, j.spec.perZone() - j.inZone(zone));
+          if (n > 0) {
+            demands.add(new Renter.Demand(j, n, Optional.of(zone)));
+            left -= n;
+          }
+        }
+      } else {
+        demands.add(new Renter.Demand(j, j.pending(), Optional.empty()));
+      }
+    }
+    demands.addAll(headroom(usable));
+    Map<Kind, Integer> hires = renter.plan(demands, coming, types.values(), now);
+    hires.forEach(
+        (kind, n) -> {
+          log.info(
+              "event=rent term={} type={} zone={} spot={} count={}",
+              term,
+              kind.type(),
+              kind.zone(),
+              kind.spot(),
+              n);
+          // Until the cloud has answered, the kind is not asked for again.
+          renter.noteAsked(kind, now);
+          cloud.tell(new CloudActor.Hire(kind, n));
+        });
+    giveBackIdle(usable, now);
+  }
+
+  /** Room to keep for classes that are expected to start at once. */
+  private List<Renter.Demand> headroom(List<Machine> usable) {
+    Map<String, Integer> running = new HashMap<>();
+    Set<String> urgent = new HashSet<>();
+    settings.objectives().stream()
+        .filter(o -> o.kind().equals("wait"))
+        .forEach(o -> urgent.add(o.jobClass()));
+    for (Job j : jobs.values()) {
+      if (!urgent.contains(j.spec.jobClass())) {
+        continue;
+      }
+      samples.put(j.spec.jobClass(), j);
+      running.merge(j.spec.jobClass(), j.placed.size(), Integer::sum);
+    }
+    List<Renter.Demand> demands = new ArrayList<>();
+    for (Objective o : settings.objectives()) {
+      Job sample = samples.get(o.jobClass());
+      if (!o.kind().equals("wait") || sample == null) {
+        continue;
+      }
+      int want =
+          2 + (int) Math.ceil(tuning.headroomShare() * running.getOrDefault(o.jobClass(), 0));
+      Map<String, Integer> free = new HashMap<>();
+      for (Machine m : usable) {
+        if (sample.spec.allows(m.type, m.zone, m.spot)) {
+          free.merge(m.zone, roomFor(m, sample), Integer::sum);
+        }
+      }
+      Set<String> zones = new LinkedHashSet<>();
+      types.values().forEach(t -> zones.addAll(t.zones()));
+      int each = (want + zones.size() - 1) / Math.max(1, zones.size());
+      for (String zone : zones) {
+        int lacking = each - free.getOrDefault(zone, 0);
+        if (lacking > 0) {
+          demands.add(new Renter.Demand(sample, lacking, Optional.of(zone)));
+        }
+      }
+    }
+    return demands;
+  }
+
+  /** How many more tasks like these the machine could take, evicting lower ones if need be. */
+  private static int roomFor(Machine m, Job sample) {
+    Machine.Room r = m.room();
+    for (Placement p : m.placements.values()) {
+      if (!p.doomed && p.job.spec.priority().compareTo(sample.spec.priority()) < 0) {
+        r.give(p.job);
+      }
+    }
+    return r.count(sample);
+  }
+
+  private void giveBackIdle(List<Machine> usable, Instant now) {
+    if (jobs.values().stream().anyMatch(j -> !j.unknown.isEmpty())) {
+      return;
+    }
+    Machine victim = null;
+    for (Machine m : usable) {
+      if (m.placements.isEmpty()
+          && !m.idleSince.equals(Instant.MAX)
+          && now.isAfter(m.idleSince.plus(tuning.idleRelease()))
+          && (victim == null || m.type.price(m.spot) > victim.type.price(victim.spot))) {
+        victim = m;
+      }
+    }
+    if (victim == null) {
+      return;
+    }
+    List<Machine> rest = new ArrayList<>(usable);
+    rest.remove(victim);
+    if (headroom(rest).isEmpty()) {
+      retire(victim, "idle");
+    }
+  }
+
+  private void cloudSaid(CloudActor.Event event) {
+    Instant now = now();
+    if (event instanceof CloudActor.Catalogue e) {
+      boolean same =
+          types.keySet().equals(new HashSet<>(e.types().stream().map(MachineType::name).toList()));
+      setTypes(e.types());
+      if (!same || catalogueDirty || !settledLogged) {
+        catalogueDirty = true;
+      }
+      planCommit();
+    } else if (event instanceof CloudActor.Hired e) {
+      renter.noteGranted(e.kind());
+      MachineType type = types.get(e.kind().type());
+      for (String name : e.names()) {
+        if (!machines.containsKey(name) && !gone.contains(name) && type != null) {
+          Machine m = new Machine(name, e.kind().zone(), e.kind().spot(), type, Life.BOOTING, now);
+          m.token = (term << TERM_SHIFT) + 1;
+          machines.put(name, m);
+        }
+      }
+      log.info("event=rented term={} kind={} count={}", term, e.kind(), e.names().size());
+    } else if (event instanceof CloudActor.Refused e) {
+      if (e.trouble()) {
+        renter.noteGranted(e.kind());
+      } else {
+        renter.noteRefused(e.kind(), now);
+        log.info("event=no_capacity term={} kind={}", term, e.kind());
+      }
+    } else if (event instanceof CloudActor.Deleted e) {
+      e.names().forEach(this::deleted);
+      planCommit();
+    } else if (event instanceof CloudActor.NotDeleted e) {
+      for (String name : e.names()) {
+        Machine m = machines.get(name);
+        if (m != null) {
+          m.deleteSent = false;
+        }
+      }
+    } else if (event instanceof CloudActor.Listed e) {
+      listed(e.hosts(), now);
+    }
+  }
+
+  private void deleted(String name) {
+    Machine m = machines.remove(name);
+    gone.add(name);
+    if (gone.size() > 2000) {
+      gone.remove(gone.iterator().next());
+    }
+    if (m == null) {
+      return;
+    }
+    for (Placement p : List.copyOf(m.placements.values())) {
+      remove(p);
+    }
+    dirtyHosts.remove(m);
+    garbage.add(Keys.host(name));
+    releaseUnknown();
+    schedule();
+  }
+
+  private void listed(List<Host> hosts, Instant now) {
+    Set<String> names = new HashSet<>();
+    for (Host h : hosts) {
+      names.add(h.name());
+      Machine m = machines.get(h.name());
+      if (m == null) {
+        if (gone.contains(h.name())) {
+          continue;
+        }
+        MachineType type = types.getOrDefault(h.type(), unknownType(h.type()));
+        m = new Machine(h.name(), h.zone(), h.spot(), type, Life.BOOTING, now);
+        m.token = (term << TERM_SHIFT) + 1;
+        m.address = h.address();
+        machines.put(h.name(), m);
+      }
+      if (!m.listed) {
+        m.listed = true;
+        m.listedSince = now;
+      }
+      if (h.stage().equals("failed")) {
+        retire(m, "failed");
+      }
+    }
+    for (Machine m : machines.values()) {
+      // Once listed, a machine stays listed until it is gone. A deletion makes sure.
+      // A list may be older than the one before: machines that are new may be missing in it.
+      if (m.listed
+          && m.everReported
+          && !names.contains(m.name)
+          && now.isAfter(m.listedSince.plus(settings.cloudLimits().listLag().multipliedBy(3)))
+          && now.isAfter(m.heard.plusSeconds(6))) {
+        retire(m, "not_listed");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/bookkeeping/Tuning.java
@@ -0,0 +1,35 @@
+package io.pearscale.bookkeeping;
+
+import java.time.Duration;
+
+/**
+ * Operators' own settings. The defaults of the sample size and of the scoring terms are the
+ * design's starting values.
+ *
+ * @param sample feasible machines to find before the best is taken
+ * @param strandedWeight cost of room left over on a machine, per resource
+ * @param sameMachineWeight cost per task of the same job on the machine
+ * @param sameZoneWeight cost per task of the same job in the zone
+ * @param imageWeight bonus of a cached image
+ * @param ordinaryWeight cost of putting work that may use spot machines on an ordinary one
+ * @param idleRelease how long a machine may idle before it is given back
+ * @param headroomShare part of the running tasks of a class with a start objective for which room
+ *     is kept
+ * @param spotRisk factor on the spot price for the risk of losing the machine
+ */
+public record Tuning(
+    int sample,
+    double strandedWeight,
+    double sameMachineWeight,
+    double sameZoneWeight,
+    double imageWeight,
+    double ordinaryWeight,
+    Duration idleRelease,
+    double headroomShare,
+    double spotRisk) {
+
+  /** The defaults. */
+  public static Tuning defaults() {
+    return new Tuning(8, 1.0, 0.3, 0.1, 1.0, 0.3, Duration.ofSeconds(60), 0.05, 1.15);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -0,0 +1,80 @@
+package io.pearscale.cli;
+
+import io.pearscale.bookkeeping.Controller;
+import io.pearscale.bookkeeping.Tuning;
+import io.pearscale.protocol.PeerMessage;
+import io.pearscale.protocol.Settings;
+import io.pearscale.transport.HttpCalls;
+import io.pearscale.transport.HttpServer;
+import io.pearscale.transport.PeerLinks;
+import io.pearscale.transport.XnioLoop;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.time.InstantSource;
+import java.util.random.RandomGenerator;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** A controller on real sockets: one XNIO thread does everything. */
+final class Server {
+  private final XnioWorker worker;
+  private final HttpServer http;
+  private Controller controller;
+
+  Server(Settings settings, Tuning tuning) throws IOException {
+    worker =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_IO_THREADS, 1)
+                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                    .set(Options.TCP_NODELAY, true)
+                    .getMap());
+    XnioLoop loop = new XnioLoop(worker.getIoThread());
+    ByteBufferPool buffers = new DefaultByteBufferPool(false, 8192, 200, 4);
+    // Most sockets are for users; what we open ourselves is one or two for each worker.
+    HttpCalls calls =
+        new HttpCalls(loop, worker.getIoThread(), buffers, settings.maxConnections() / 3);
+    PeerLinks links =
+        new PeerLinks(
+            loop,
+            worker,
+            settings.host(),
+            "pearscale/" + PeerMessage.VERSION,
+            settings.peers(),
+            (peer, frame) -> controller.fromPeer(peer, frame));
+    RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+    controller =
+        new Controller(loop, calls, links, settings, tuning, random, InstantSource.system());
+    http =
+        new HttpServer(
+            settings.clientListen(),
+            worker,
+            buffers,
+            settings.maxConnections() / 2,
+            controller::request);
+    loop.execute(
+        () -> {
+          try {
+            links.start(settings.peerListen());
+            controller.start();
+          } catch (IOException e) {
+            System.err.println("pearscale: " + settings.peerListen() + ": " + e.getMessage());
+            System.exit(Main.EXIT_FAILURE);
+          }
+        });
+  }
+
+  void start() {
+    http.start();
+  }
+
+  void stop() {
+    http.stop();
+    worker.shutdownNow();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/cli/SettingsReader.java
@@ -0,0 +1,147 @@
+package io.pearscale.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
+import io.pearscale.protocol.Fields;
+import io.pearscale.protocol.Settings;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads the platform's TOML. Keys that it doesn't know are passed over. */
+final class SettingsReader {
+  private final Path file;
+
+  private SettingsReader(Path file) {
+    this.file = file;
+  }
+
+  static Settings read(Path file) throws SettingsError {
+    JsonNode root;
+    try {
+      root = new ObjectMapper(new TomlFactory()).readTree(Files.readString(file));
+    } catch (JsonProcessingException e) {
+      throw new SettingsError(file, "file", e.getOriginalMessage().replace('\n', ' '), "TOML");
+    } catch (IOException e) {
+      throw new SettingsError(file, "file", "nothing readable", "a TOML file");
+    }
+    return new SettingsReader(file).settings(root);
+  }
+
+  private Settings settings(JsonNode root) throws SettingsError {
+    Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
+    for (JsonNode p : root.path("peers")) {
+      peers.put(text(p, "host_name", "peers."), address(p, "address", "peers."));
+    }
+    JsonNode facts = table(root, "facts", "");
+    List<Settings.Team> teams = new ArrayList<>();
+    for (JsonNode t : facts.path("teams")) {
+      teams.add(
+          new Settings.Team(
+              text(t, "name", "facts.teams."),
+              number(t, "cpus", "facts.teams.", 0),
+              number(t, "cpus_max", "facts.teams.", 0),
+              number(t, "gpus", "facts.teams.", 0),
+              number(t, "gpus_max", "facts.teams.", 0)));
+    }
+    List<Settings.Objective> objectives = new ArrayList<>();
+    for (JsonNode o : facts.path("objectives")) {
+      objectives.add(
+          new Settings.Objective(
+              text(o, "kind", "facts.objectives."),
+              o.path("class").asText(""),
+              Fields.duration(Math.max(0, o.path("within_s").asDouble(0)))));
+    }
+    JsonNode workers = table(facts, "workers", "facts.");
+    JsonNode state = table(facts, "state", "facts.");
+    JsonNode cloud = table(facts, "cloud", "facts.");
+    JsonNode services = table(root, "endpoints", "");
+    return new Settings(
+        text(root, "host_name", ""),
+        text(root, "domain", ""),
+        address(root, "client_listen", ""),
+        address(root, "back", ""),
+        peers,
+        checkedAddress(services, "cloud", "endpoints."),
+        checkedAddress(services, "state", "endpoints."),
+        teams,
+        objectives,
+        new Settings.Workers(
+            seconds(workers, "report_s", "facts.workers."),
+            seconds(workers, "lease_s", "facts.workers."),
+            seconds(workers, "cancel_s", "facts.workers.")),
+        new Settings.State(
+            number(state, "rps", "facts.state.", 1),
+            number(state, "write_rps", "facts.state.", 1),
+            (int) (number(state, "value_kb", "facts.state.", 0.25) * 1024),
+            (int) number(state, "txn_ops", "facts.state.", 4)),
+        new Settings.Cloud(
+            number(cloud, "rps", "facts.cloud.", 0.01),
+            seconds(cloud, "list_lag_s", "facts.cloud.")),
+        (int) facts.path("limits").path("fd_limit").asDouble(1000));
+  }
+
+  private JsonNode table(JsonNode from, String key, String where) throws SettingsError {
+    JsonNode n = from.path(key);
+    if (!n.isObject()) {
+      throw new SettingsError(file, where + key, describe(n), "a table");
+    }
+    return n;
+  }
+
+  private String text(JsonNode from, String key, String where) throws SettingsError {
+    JsonNode n = from.path(key);
+    if (!n.isTextual() || n.textValue().isBlank()) {
+      throw new SettingsError(file, where + key, describe(n), "a text");
+    }
+    return n.textValue();
+  }
+
+  private double number(JsonNode from, String key, String where, double least)
+      throws SettingsError {
+    JsonNode n = from.path(key);
+    if (!n.isNumber() || !(n.doubleValue() >= least) || Double.isInfinite(n.doubleValue())) {
+      throw new SettingsError(file, where + key, describe(n), "a number of at least " + least);
+    }
+    return n.doubleValue();
+  }
+
+  private Duration seconds(JsonNode from, String key, String where) throws SettingsError {
+    return Fields.duration(number(from, key, where, 0));
+  }
+
+  private String checkedAddress(JsonNode from, String key, String where) throws SettingsError {
+    address(from, key, where);
+    return text(from, key, where);
+  }
+
+  private InetSocketAddress address(JsonNode from, String key, String where) throws SettingsError {
+    String text = text(from, key, where);
+    int colon = text.lastIndexOf(':');
+    try {
+      String host = text.substring(0, Math.max(0, colon));
+      int port = Integer.parseInt(text.substring(colon + 1));
+      // Only numeric addresses: nothing here may wait for a name service.
+      if (host.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}") && port > 0 && port < 65536) {
+        return new InetSocketAddress(InetAddress.getByName(host), port);
+      }
+    } catch (NumberFormatException | UnknownHostException e) {
+      throw new SettingsError(file, where + key, text, "an address like 10.0.0.1:8080");
+    }
+    throw new SettingsError(file, where + key, text, "an address like 10.0.0.1:8080");
+  }
+
+  private static String describe(JsonNode n) {
+    return n.isMissingNode() ? "nothing" : n.toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/cli/TuningReader.java
@@ -0,0 +1,83 @@
+package io.pearscale.cli;
+
+import io.pearscale.bookkeeping.Tuning;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Reads operators' own settings: an optional file of S-expressions such as {@code (sample 8)}. */
+final class TuningReader {
+  /** A setting: what it may be. Its default is in {@link Tuning#defaults}. */
+  private record Range(double least, double most) {}
+
+  private static final Map<String, Range> KNOWN = new LinkedHashMap<>();
+
+  static {
+    KNOWN.put("sample", new Range(1, 1000));
+    KNOWN.put("stranded-weight", new Range(0, 100));
+    KNOWN.put("same-machine-weight", new Range(0, 100));
+    KNOWN.put("same-zone-weight", new Range(0, 100));
+    KNOWN.put("image-weight", new Range(0, 100));
+    KNOWN.put("ordinary-weight", new Range(0, 100));
+    KNOWN.put("idle-release-s", new Range(1, 86_400));
+    KNOWN.put("headroom-share", new Range(0, 10));
+    KNOWN.put("spot-risk", new Range(1, 100));
+  }
+
+  private TuningReader() {}
+
+  static Tuning read(Optional<Path> file) throws SettingsError {
+    Tuning d = Tuning.defaults();
+    if (file.isEmpty()) {
+      return d;
+    }
+    Map<String, Double> values = values(file.get());
+    return new Tuning(
+        (int) (double) values.getOrDefault("sample", (double) d.sample()),
+        values.getOrDefault("stranded-weight", d.strandedWeight()),
+        values.getOrDefault("same-machine-weight", d.sameMachineWeight()),
+        values.getOrDefault("same-zone-weight", d.sameZoneWeight()),
+        values.getOrDefault("image-weight", d.imageWeight()),
+        values.getOrDefault("ordinary-weight", d.ordinaryWeight()),
+        Optional.ofNullable(values.get("idle-release-s"))
+            .map(s -> Duration.ofMillis((long) (s * 1000)))
+            .orElse(d.idleRelease()),
+        values.getOrDefault("headroom-share", d.headroomShare()),
+        values.getOrDefault("spot-risk", d.spotRisk()));
+  }
+
+  private static Map<String, Double> values(Path file) throws SettingsError {
+    Map<String, Double> values = new LinkedHashMap<>();
+    try {
+      for (List<String> entry : Sexp.read(Files.readString(file))) {
+        if (entry.size() != 2) {
+          throw new SettingsError(file, "entry", entry.toString(), "a name and a value");
+        }
+        Range range = KNOWN.get(entry.get(0));
+        if (range == null) {
+          continue;
+        }
+        String expected = "a number from " + range.least + " to " + range.most;
+        try {
+          double v = Double.parseDouble(entry.get(1));
+          if (!(v >= range.least && v <= range.most)) {
+            throw new SettingsError(file, entry.get(0), entry.get(1), expected);
+          }
+          values.put(entry.get(0), v);
+        } catch (NumberFormatException e) {
+          throw new SettingsError(file, entry.get(0), entry.get(1), expected);
+        }
+      }
+    } catch (IOException e) {
+      throw new SettingsError(file, "file", "nothing readable", "a file of S-expressions");
+    } catch (Sexp.Bad e) {
+      throw new SettingsError(file, "file", e.getMessage(), "S-expressions");
+    }
+    return values;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/cli/WarmUp.java
@@ -0,0 +1,209 @@
+package io.pearscale.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.bookkeeping.Tuning;
+import io.pearscale.transport.HttpCalls;
+import io.pearscale.transport.HttpServer;
+import io.pearscale.transport.HttpServer.Response;
+import io.pearscale.transport.MessagePack;
+import io.pearscale.transport.XnioLoop;
+import io.undertow.server.DefaultByteBufferPool;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import picocli.CommandLine.Command;
+
+/**
+ * Runs the program for a moment on loopback against a stub, so that the build can archive the
+ * classes that a start needs. Starting is dear on a part of a core, and most of it is loading
+ * classes.
+ */
+@Command(name = "warm-up", hidden = true, description = "Loads what a start needs, then ends.")
+final class WarmUp implements Callable<Integer> {
+  private static final String SETTINGS =
+      """
+      host_name = "warm-0"
+      domain = "a"
+      client_listen = "127.0.0.1:%d"
+      back = "127.0.0.1:%d"
+      [[peers]]
+      host_name = "warm-1"
+      domain = "a"
+      address = "127.0.0.1:%d"
+      [endpoints]
+      cloud = "127.0.0.1:%d"
+      state = "127.0.0.1:%d"
+      [[facts.teams]]
+      name = "t"
+      cpus = 0.0
+      cpus_max = 0.0
+      gpus = 0.0
+      gpus_max = 0.0
+      [[facts.objectives]]
+      kind = "wait"
+      class = "c"
+      within_s = 1.0
+      [facts.workers]
+      report_s = 3.0
+      lease_s = 20.0
+      cancel_s = 40.0
+      [facts.state]
+      rps = 100.0
+      write_rps = 50.0
+      value_kb = 8.0
+      txn_ops = 40
+      [facts.cloud]
+      rps = 2.0
+      list_lag_s = 10.0
+      [facts.limits]
+      fd_limit = 1000
+      """;
+
+  private long epoch = 1;
+
+  @Override
+  public Integer call() throws Exception {
+    int[] ports = new int[5];
+    ServerSocket[] held = new ServerSocket[ports.length];
+    for (int i = 0; i < ports.length; i++) {
+      held[i] = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+      ports[i] = held[i].getLocalPort();
+    }
+    for (ServerSocket s : held) {
+      s.close();
+    }
+    XnioWorker worker =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_IO_THREADS, 1)
+                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                    .getMap());
+    DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, 8192, 50, 4);
+    HttpServer stub =
+        new HttpServer(
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), ports[4]),
+            worker,
+            buffers,
+            100,
+            this::stub);
+    stub.start();
+    Path file = Files.createTempFile("pearscale", ".toml");
+    try {
+      Files.writeString(file, SETTINGS.formatted(ports[0], ports[1], ports[2], ports[4], ports[4]));
+      Server server = new Server(SettingsReader.read(file), Tuning.defaults());
+      server.start();
+      Thread.sleep(1500);
+      XnioLoop loop = new XnioLoop(worker.getIoThread());
+      HttpCalls calls = new HttpCalls(loop, worker.getIoThread(), buffers, 20);
+      String self = "127.0.0.1:" + ports[0];
+      ask(loop, calls, self, "GET", "/up", MessagePack.MISSING);
+      ask(loop, calls, self, "POST", "/work", job());
+      ask(loop, calls, self, "GET", "/work/wk-000001", MessagePack.MISSING);
+      ask(loop, calls, self, "POST", "/checkin", report(self));
+      ask(loop, calls, self, "POST", "/checkin", MessagePack.map());
+      Thread.sleep(1200);
+      ask(loop, calls, self, "POST", "/work/wk-000001/cancel", MessagePack.MISSING);
+      server.stop();
+      return 0;
+    } finally {
+      Files.deleteIfExists(file);
+      stub.stop();
+      worker.shutdownNow();
+    }
+  }
+
+  private static void ask(
+      XnioLoop loop, HttpCalls calls, String to, String method, String path, JsonNode body)
+      throws InterruptedException {
+    CountDownLatch latch = new CountDownLatch(1);
+    loop.execute(
+        () ->
+            calls.call(to, method, path, body, Duration.ofSeconds(2), reply -> latch.countDown()));
+    latch.await(3, TimeUnit.SECONDS);
+  }
+
+  private static ObjectNode job() {
+    return MessagePack.map()
+        .put("uid", "wk-000001")
+        .put("lineup", "c")
+        .put("crew", "t")
+        .put("shape", "batch")
+        .put("rank", "normal")
+        .put("pieces", 3)
+        .put("vcpus", 1.0)
+        .put("accelerators", 0.0)
+        .put("memoryGb", 1.0)
+        .put("bundle", "i")
+        .put("imageGb", 1.0)
+        .put("oneZone", false)
+        .put("spread", false)
+        .put("windfall", true)
+        .put("guessS", 10.0)
+        .put("bookmarkS", 0.0)
+        .put("stashS", 0.0)
+        .put("dueS", 60.0);
+  }
+
+  private static ObjectNode report(String address) {
+    ObjectNode n =
+        MessagePack.map()
+            .put("hive", "m-000001")
+            .put("address", address)
+            .put("breed", "g")
+            .put("yard", "a")
+            .put("windfall", false)
+            .put("stint", 1)
+            .put("tally", 1)
+            .put("baton", 0);
+    n.putArray("pieces")
+        .addObject()
+        .put("piece", "wk-000009/0")
+        .put("try", 1)
+        .put("stage", "running");
+    return n;
+  }
+
+  private void stub(
+      String method, String path, Optional<JsonNode> body, Consumer<Response> respond) {
+    ObjectNode n = MessagePack.map();
+    n.put("epoch", path.equals("/commit") ? ++epoch : epoch).put("claim", 1).put("more", false);
+    if (path.equals("/watch")) {
+      var events = n.putArray("events");
+      if (epoch > 1) {
+        ObjectNode e = events.addObject().put("write", "c/live/wk-000001").put("stamp", epoch);
+        e.putObject("value").put("at", 0).set("spec", job());
+      }
+    }
+    n.putArray("pairs");
+    n.putArray("hives");
+    n.putArray("breeds")
+        .addObject()
+        .put("sku", "g")
+        .put("vcpus", 8.0)
+        .put("accelerators", 0.0)
+        .put("memoryGb", 8.0)
+        .put("cacheGb", 8.0)
+        .put("fetchGbPerS", 1.0)
+        .put("rate", 1.0)
+        .put("marketPrice", 0.5)
+        .put("readyS", 20.0)
+        .putArray("yards")
+        .add("a");
+    respond.accept(Response.of(200, n));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/coordination/ElectionActor.java
@@ -0,0 +1,318 @@
+package io.pearscale.coordination;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.Settings;
+import io.pearscale.storage.Keys;
+import io.pearscale.storage.ReplicaActor.Entry;
+import io.pearscale.storage.ReplicaActor.KeyChange;
+import io.pearscale.storage.StateClient;
+import io.pearscale.storage.StateClient.Change;
+import io.pearscale.storage.StateClient.Guard;
+import io.pearscale.transport.Actor;
+import io.pearscale.transport.Calls.Reply;
+import io.pearscale.transport.Loop;
+import io.pearscale.transport.MessagePack;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Finds out who leads. The leader's key hangs on a grant; whoever creates it raises the durable
+ * term in the same transaction. All that a leader writes is guarded by that term, and all that it
+ * tells workers carries it, so that two who both think they lead can't harm each other: the
+ * election is for progress only.
+ *
+ * <p>A leader is one from when it <em>knew</em> that it had won. It judges itself by when its last
+ * good renewal was <em>sent</em>.
+ */
+public final class ElectionActor extends Actor<ElectionActor.Message> {
+  private static final Duration TTL = Duration.ofMillis(3000);
+  private static final Duration RENEW = Duration.ofMillis(700);
+
+  /** What the actor understands. */
+  public sealed interface Message {}
+
+  /** The replica was loaded. */
+  public record Loaded(Map<String, Entry> all) implements Message {}
+
+  /** Keys changed. */
+  public record Changed(List<KeyChange> changes) implements Message {}
+
+  /** Somebody has seen a higher term: a worker's token, or a peer. */
+  public record HigherTerm(long term) implements Message {}
+
+  /** A peer says who leads; counts only for controllers that can't ask the state service. */
+  public record Heard(long term, String leader) implements Message {}
+
+  private record Renew(int round) implements Message {}
+
+  private record Stand(int round) implements Message {}
+
+  private record Granted(int round, Reply reply) implements Message {}
+
+  private record Elected(int round, Reply reply) implements Message {}
+
+  private record Renewed(int round, Instant sent, Reply reply) implements Message {}
+
+  private record Expire(int round) implements Message {}
+
+  /** Is told who leads. */
+  public interface Listener {
+    /** This controller leads from now on. */
+    void won(long term, long termStamp, Instant evidence);
+
+    /** The state service has confirmed that this controller still led when it was asked. */
+    void confirmed(Instant evidence);
+
+    /** This controller does not lead any more. */
+    void lost(long term);
+
+    /** The leader as far as known; empty while there is none. */
+    void leader(long term, Optional<String> name);
+  }
+
+  private final StateClient state;
+  private final Settings settings;
+  private final RandomGenerator random;
+  private final List<Listener> listeners;
+  private final String nonce;
+
+  private boolean loaded;
+  private Optional<Entry> leadEntry = Optional.empty();
+  private Optional<Entry> termEntry = Optional.empty();
+  private int round;
+  private boolean standing;
+  private boolean leading;
+  private long grant;
+  private long term;
+  private Instant evidence = Instant.MIN;
+
+  /** Takes part in elections; {@code listeners} are told of the outcome. */
+  public ElectionActor(
+      Loop loop,
+      StateClient state,
+      Settings settings,
+      RandomGenerator random,
+      List<Listener> listeners) {
+    super(loop);
+    this.state = state;
+    this.settings = settings;
+    this.random = random;
+    this.listeners = listeners;
+    this.nonce = Long.toHexString(random.nextLong());
+  }
+
+  @Override
+  protected void receive(Message message) {
+    if (message instanceof Loaded m) {
+      loaded = true;
+      leadEntry = Optional.ofNullable(m.all.get(Keys.LEADER));
+      termEntry = Optional.ofNullable(m.all.get(Keys.TERM));
+      look();
+    } else if (message instanceof Changed m) {
+      boolean ours = false;
+      for (KeyChange c : m.changes) {
+        if (c.key().equals(Keys.LEADER)) {
+          leadEntry = c.entry();
+          ours = true;
+        } else if (c.key().equals(Keys.TERM)) {
+          termEntry = c.entry();
+          ours = true;
+        }
+      }
+      if (ours) {
+        look();
+      }
+    } else if (message instanceof HigherTerm m) {
+      if (leading && m.term > term) {
+        log.warn("event=higher_term_seen term={} seen={}", term, m.term);
+        stepDown("higher_term");
+      }
+    } else if (message instanceof Heard m) {
+      heard(m);
+    } else if (message instanceof Stand m && m.round == round) {
+      stand();
+    } else if (message instanceof Granted m && m.round == round) {
+      granted(m.reply);
+    } else if (message instanceof Elected m && m.round == round) {
+      elected(m.reply);
+    } else if (message instanceof Renew m && m.round == round && leading) {
+      renew();
+    } else if (message instanceof Renewed m && m.round == round && leading) {
+      renewed(m);
+    } else if (message instanceof Expire m && m.round == round && leading) {
+      expire();
+    }
+  }
+
+  private long knownTerm() {
+    return termEntry.map(e -> e.value().path("term").asLong()).orElse(0L);
+  }
+
+  /** Looks at what the state service holds and acts on it. */
+  private void look() {
+    if (leading) {
+      if (knownTerm() > term) {
+        stepDown("other_leader");
+      }
+      return;
+    }
+    if (leadEntry.isEmpty()) {
+      listeners.forEach(l -> l.leader(knownTerm(), Optional.empty()));
+      if (!standing) {
+        planStand(Duration.ofMillis(random.nextInt(60)));
+      }
+      return;
+    }
+    var value = leadEntry.get().value();
+    String name = value.path("node").asText();
+    if (name.equals(settings.host())) {
+      if (value.path("nonce").asText().equals(nonce) && value.path("grant").asLong() == grant) {
+        // Our transaction went through although its answer got lost.
+        win(value.path("term").asLong(), leadEntry.get().stamp());
+      } else if (!standing) {
+        // A former life of this process, or a try that was given up: nobody keeps that grant.
+        state.revoke(value.path("grant").asLong(), r -> {});
+        planStand(Duration.ofMillis(500));
+      }
+      return;
+    }
+    round++;
+    standing = false;
+    listeners.forEach(l -> l.leader(knownTerm(), Optional.of(name)));
+  }
+
+  private void heard(Heard m) {
+    if (leading && m.term > term) {
+      stepDown("peer_has_higher_term");
+    } else if (!leading && m.term > knownTerm() && !m.leader.isEmpty()) {
+      listeners.forEach(l -> l.leader(m.term, Optional.of(m.leader)));
+    } else if (!leading && !loaded && m.term > 0 && !m.leader.isEmpty()) {
+      listeners.forEach(l -> l.leader(m.term, Optional.of(m.leader)));
+    }
+  }
+
+  private void planStand(Duration delay) {
+    standing = true;
+    int r = ++round;
+    loop.after(delay.plusMillis(1), () -> tell(new Stand(r)));
+  }
+
+  private void stand() {
+    int r = round;
+    if (leadEntry.isPresent()
+        && !leadEntry.get().value().path("node").asText().equals(settings.host())) {
+      standing = false;
+      return;
+    }
+    state.grant(TTL, reply -> tell(new Granted(r, reply)));
+  }
+
+  private void granted(Reply reply) {
+    if (!reply.ok() || !reply.body().path("claim").isIntegralNumber()) {
+      planStand(retryDelay());
+      return;
+    }
+    grant = reply.body().path("claim").asLong();
+    long next = knownTerm() + 1;
+    ObjectNode lead =
+        MessagePack.map()
+            .put("node", settings.host())
+            .put("term", next)
+            .put("grant", grant)
+            .put("nonce", nonce);
+    evidence = loop.clock().instant();
+    int r = round;
+    state.commit(
+        List.of(
+            new Guard(Keys.LEADER, 0),
+            new Guard(Keys.TERM, termEntry.map(Entry::stamp).orElse(0L))),
+        List.of(
+            new Change(Keys.LEADER, Optional.of(lead), Optional.of(grant)),
+            Change.write(Keys.TERM, MessagePack.map().put("term", next).put("node", nonce))),
+        answer -> tell(new Elected(r, answer)));
+  }
+
+  private void elected(Reply reply) {
+    if (reply.ok()) {
+      win(knownTerm() + 1, reply.body().path("epoch").asLong());
+      return;
+    }
+    // 409: somebody was first, and the watch will say who. No answer: the watch will say as well.
+    standing = false;
+    log.info("event=election_not_won status={}", reply.status());
+    planStand(reply.status() == 409 ? Duration.ofMillis(400) : retryDelay());
+  }
+
+  private Duration retryDelay() {
+    return Duration.ofMillis(300 + random.nextInt(400));
+  }
+
+  private void win(long newTerm, long termStamp) {
+    round++;
+    standing = false;
+    leading = true;
+    term = newTerm;
+    // What was read when the transaction was sent proves nothing before it was applied, and it was
+    // applied after it was sent: the time of sending is a safe lower bound.
+    log.info("event=elected term={} host={}", term, settings.host());
+    listeners.forEach(l -> l.leader(term, Optional.of(settings.host())));
+    listeners.forEach(l -> l.won(term, termStamp, evidence));
+    int r = round;
+    loop.after(RENEW, () -> tell(new Renew(r)));
+    planExpiry();
+  }
+
+  private void renew() {
+    int r = round;
+    Instant sent = loop.clock().instant();
+    state.extend(grant, reply -> tell(new Renewed(r, sent, reply)));
+    loop.after(RENEW, () -> tell(new Renew(r)));
+  }
+
+  private void renewed(Renewed m) {
+    if (m.reply.ok()) {
+      if (m.sent.isAfter(evidence)) {
+        evidence = m.sent;
+      }
+      listeners.forEach(l -> l.confirmed(evidence));
+      planExpiry();
+    } else if (m.reply.status() == 404) {
+      stepDown("grant_ended");
+    }
+  }
+
+  private void planExpiry() {
+    int r = round;
+    Duration left =
+        Duration.between(loop.clock().instant(), evidence.plus(settings.hold())).plusMillis(5);
+    loop.after(left.isNegative() ? Duration.ofMillis(1) : left, () -> tell(new Expire(r)));
+  }
+
+  private void expire() {
+    if (!loop.clock().instant().isBefore(evidence.plus(settings.hold()))) {
+      stepDown("no_proof");
+    }
+  }
+
+  private void stepDown(String reason) {
+    log.info("event=leadership_lost term={} reason={}", term, reason);
+    leading = false;
+    round++;
+    standing = false;
+    long old = term;
+    listeners.forEach(l -> l.lost(old));
+    if (leadEntry
+        .filter(e -> e.value().path("nonce").asText().equals(nonce))
+        .filter(e -> e.value().path("term").asLong() == old)
+        .isPresent()) {
+      // The copy still shows ourselves: without it the next look would think that we had won.
+      grant = -1;
+    }
+    listeners.forEach(l -> l.leader(knownTerm(), Optional.empty()));
+    planStand(retryDelay());
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/protocol/JobSpec.java
@@ -0,0 +1,125 @@
+package io.pearscale.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.transport.MessagePack;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/** A job as its user described it. Field names of the wire end here. */
+public record JobSpec(
+    String id,
+    String jobClass,
+    String team,
+    boolean service,
+    Priority priority,
+    int tasks,
+    double cpus,
+    double gpus,
+    double memoryGb,
+    String image,
+    double imageGb,
+    Optional<List<String>> types,
+    Optional<String> zone,
+    boolean oneZone,
+    boolean spread,
+    boolean spot,
+    Duration estimate,
+    Duration checkpoint,
+    Duration save,
+    Optional<Duration> deadline) {
+
+  private static final Pattern ID = Pattern.compile("wk-[0-9A-Za-z]{1,64}");
+
+  /** Whether the text has the form of a job id. */
+  public static boolean isId(String id) {
+    return ID.matcher(id).matches();
+  }
+
+  /** Reads a submission, or the same out of the state service. */
+  public static JobSpec parse(JsonNode body) throws Malformed {
+    JsonNode m = Fields.map(body);
+    String id = Fields.text(m, "uid");
+    if (!isId(id)) {
+      throw new Malformed("uid: an id like wk-000412 expected");
+    }
+    String shape = Fields.text(m, "shape");
+    if (!shape.equals("batch") && !shape.equals("service")) {
+      throw new Malformed("shape: batch or service expected");
+    }
+    Priority priority =
+        Priority.parse(Fields.text(m, "rank"))
+            .orElseThrow(() -> new Malformed("rank: critical, high, normal or idle expected"));
+    Optional<Double> due = Fields.optAmount(m, "dueS");
+    Optional<List<String>> types = Fields.texts(m, "breeds");
+    return new JobSpec(
+        id,
+        Fields.text(m, "lineup"),
+        Fields.text(m, "crew"),
+        shape.equals("service"),
+        priority,
+        (int) Fields.integer(m, "pieces", 1, 100_000),
+        Fields.amount(m, "vcpus"),
+        Fields.amount(m, "accelerators"),
+        Fields.amount(m, "memoryGb"),
+        Fields.text(m, "bundle"),
+        Fields.amount(m, "imageGb"),
+        types,
+        Fields.optText(m, "yard"),
+        Fields.flag(m, "oneZone"),
+        Fields.flag(m, "spread"),
+        Fields.flag(m, "windfall"),
+        Fields.seconds(m, "guessS"),
+        Fields.seconds(m, "bookmarkS"),
+        Fields.seconds(m, "stashS"),
+        due.map(Fields::duration));
+  }
+
+  /** Writes the job as it is kept. */
+  public ObjectNode toNode() {
+    ObjectNode n =
+        MessagePack.map()
+            .put("uid", id)
+            .put("lineup", jobClass)
+            .put("crew", team)
+            .put("shape", service ? "service" : "batch")
+            .put("rank", priority.wire())
+            .put("pieces", tasks)
+            .put("vcpus", cpus)
+            .put("accelerators", gpus)
+            .put("memoryGb", memoryGb)
+            .put("bundle", image)
+            .put("imageGb", imageGb);
+    types.ifPresent(
+        t -> {
+          var list = n.putArray("breeds");
+          t.forEach(list::add);
+        });
+    zone.ifPresent(z -> n.put("yard", z));
+    n.put("oneZone", oneZone)
+        .put("spread", spread)
+        .put("windfall", spot)
+        .put("guessS", Fields.seconds(estimate))
+        .put("bookmarkS", Fields.seconds(checkpoint))
+        .put("stashS", Fields.seconds(save));
+    deadline.ifPresent(d -> n.put("dueS", Fields.seconds(d)));
+    return n;
+  }
+
+  /** Whether a machine of this type, zone and kind may run the job's tasks at all. */
+  public boolean allows(MachineType type, String inZone, boolean onSpot) {
+    return (spot || !onSpot)
+        && types.map(t -> t.contains(type.name())).orElse(true)
+        && zone.map(z -> z.equals(inZone)).orElse(true)
+        && cpus <= type.cpus()
+        && gpus <= type.gpus()
+        && memoryGb <= type.memoryGb();
+  }
+
+  /** How many of the tasks one zone may hold. */
+  public int perZone() {
+    return spread ? (tasks + 1) / 2 : tasks;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/protocol/Malformed.java
@@ -0,0 +1,11 @@
+package io.pearscale.protocol;
+
+/** A message breaks the protocol; the text says where. It is answered or dropped, never trusted. */
+public final class Malformed extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  /** Says which field is wrong. */
+  public Malformed(String what) {
+    super(what, null, false, false);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/protocol/Order.java
@@ -0,0 +1,46 @@
+package io.pearscale.protocol;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.transport.MessagePack;
+import java.time.Duration;
+
+/** A command to a worker. */
+public record Order(Verb verb, TaskId task, long attempt, Duration grace) {
+  /** What the worker is to do. */
+  public enum Verb {
+    RUN("run"),
+    KILL("kill"),
+    CLEAR("clear");
+
+    private final String wire;
+
+    Verb(String wire) {
+      this.wire = wire;
+    }
+  }
+
+  /** Starts an attempt. */
+  public static Order run(TaskId task, long attempt) {
+    return new Order(Verb.RUN, task, attempt, Duration.ZERO);
+  }
+
+  /** Stops an attempt; it may save for as long as the grace. */
+  public static Order kill(TaskId task, long attempt, Duration grace) {
+    return new Order(Verb.KILL, task, attempt, grace);
+  }
+
+  /** Removes an ended attempt from the reports. */
+  public static Order clear(TaskId task, long attempt) {
+    return new Order(Verb.CLEAR, task, attempt, Duration.ZERO);
+  }
+
+  /** As the worker reads it. */
+  public ObjectNode toNode() {
+    ObjectNode n =
+        MessagePack.map().put("verb", verb.wire).put("piece", task.toString()).put("try", attempt);
+    if (verb == Verb.KILL) {
+      n.put("leewayS", Fields.seconds(grace));
+    }
+    return n;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/protocol/PeerMessage.java
@@ -0,0 +1,194 @@
+package io.pearscale.protocol;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** What controllers say to each other, as {@code DataOutputStream} records. */
+public sealed interface PeerMessage {
+  /** The record format; controllers of another version are not talked to. */
+  int VERSION = 1;
+
+  /**
+   * Sent all the time.
+   *
+   * @param term the highest term that the sender knows
+   * @param leader who holds it, or empty
+   * @param storeOk whether the state service has answered the sender lately
+   */
+  record Heartbeat(long term, String leader, boolean storeOk) implements PeerMessage {}
+
+  /** A worker's report, on its way to the leader. */
+  record ForwardedReport(long exchange, Report report) implements PeerMessage {}
+
+  /** The leader's answer to a forwarded report. */
+  record ForwardedAnswer(long exchange, ReportAnswer answer) implements PeerMessage {}
+
+  /** Task counts of jobs, for display. */
+  record Counts(List<JobCount> jobs) implements PeerMessage {}
+
+  /** How many tasks of a job are done and run. */
+  record JobCount(String job, int done, int running) {}
+
+  /** Encodes a record. */
+  static byte[] encode(PeerMessage message) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
+    try (DataOutputStream out = new DataOutputStream(bytes)) {
+      if (message instanceof Heartbeat m) {
+        out.writeByte(1);
+        out.writeLong(m.term);
+        out.writeUTF(m.leader);
+        out.writeBoolean(m.storeOk);
+      } else if (message instanceof ForwardedReport m) {
+        out.writeByte(2);
+        out.writeLong(m.exchange);
+        write(out, m.report);
+      } else if (message instanceof ForwardedAnswer m) {
+        out.writeByte(3);
+        out.writeLong(m.exchange);
+        out.writeShort(m.answer.status());
+        out.writeLong(m.answer.token());
+        out.writeInt(m.answer.orders().size());
+        for (Order o : m.answer.orders()) {
+          out.writeByte(o.verb().ordinal());
+          write(out, o.task());
+          out.writeLong(o.attempt());
+          out.writeLong(o.grace().toNanos());
+        }
+      } else if (message instanceof Counts m) {
+        out.writeByte(4);
+        out.writeInt(m.jobs.size());
+        for (JobCount c : m.jobs) {
+          out.writeUTF(c.job);
+          out.writeInt(c.done);
+          out.writeInt(c.running);
+        }
+      }
+    } catch (IOException e) {
+      throw new IllegalStateException("memory does not fail", e);
+    }
+    return bytes.toByteArray();
+  }
+
+  /** Decodes a record; bytes that are none of ours are said to be malformed and change nothing. */
+  static PeerMessage decode(byte[] frame) throws Malformed {
+    try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(frame))) {
+      PeerMessage message =
+          switch (in.readByte()) {
+            case 1 -> new Heartbeat(in.readLong(), in.readUTF(), in.readBoolean());
+            case 2 -> new ForwardedReport(in.readLong(), readReport(in));
+            case 3 -> {
+              long exchange = in.readLong();
+              int status = in.readShort();
+              long token = in.readLong();
+              List<Order> orders = new ArrayList<>();
+              for (int n = count(in); n > 0; n--) {
+                orders.add(
+                    new Order(
+                        pick(Order.Verb.values(), in.readByte()),
+                        readTask(in),
+                        in.readLong(),
+                        Duration.ofNanos(in.readLong())));
+              }
+              yield new ForwardedAnswer(exchange, new ReportAnswer(status, token, orders));
+            }
+            case 4 -> {
+              List<JobCount> jobs = new ArrayList<>();
+              for (int n = count(in); n > 0; n--) {
+                jobs.add(new JobCount(in.readUTF(), in.readInt(), in.readInt()));
+              }
+              yield new Counts(jobs);
+            }
+            default -> throw new Malformed("peer record of unknown kind");
+          };
+      if (in.read() >= 0) {
+        throw new Malformed("peer record with bytes left over");
+      }
+      return message;
+    } catch (IOException e) {
+      throw new Malformed("peer record cut short");
+    }
+  }
+
+  private static int count(DataInputStream in) throws IOException, Malformed {
+    int n = in.readInt();
+    // Each entry takes at least one byte: a larger count is garbage and must not reserve memory.
+    if (n < 0 || n > in.available()) {
+      throw new Malformed("peer record with an impossible count");
+    }
+    return n;
+  }
+
+  private static <T> T pick(T[] values, int i) throws Malformed {
+    if (i < 0 || i >= values.length) {
+      throw new Malformed("peer record with an unknown value");
+    }
+    return values[i];
+  }
+
+  private static void write(DataOutputStream out, TaskId t) throws IOException {
+    out.writeUTF(t.job());
+    out.writeInt(t.index());
+  }
+
+  private static TaskId readTask(DataInputStream in) throws IOException {
+    return new TaskId(in.readUTF(), in.readInt());
+  }
+
+  private static void write(DataOutputStream out, Report r) throws IOException {
+    out.writeUTF(r.machine());
+    out.writeUTF(r.address());
+    out.writeUTF(r.type());
+    out.writeUTF(r.zone());
+    out.writeBoolean(r.spot());
+    out.writeLong(r.session());
+    out.writeLong(r.sequence());
+    out.writeLong(r.token());
+    out.writeLong(r.notice().map(Duration::toNanos).orElse(-1L));
+    out.writeInt(r.tasks().size());
+    for (Report.TaskReport t : r.tasks()) {
+      write(out, t.task());
+      out.writeLong(t.attempt());
+      out.writeByte(t.stage().ordinal());
+      out.writeUTF(t.cause());
+    }
+  }
+
+  private static Report readReport(DataInputStream in) throws IOException, Malformed {
+    String machine = in.readUTF();
+    String address = in.readUTF();
+    String type = in.readUTF();
+    String zone = in.readUTF();
+    boolean spot = in.readBoolean();
+    long session = in.readLong();
+    long sequence = in.readLong();
+    long token = in.readLong();
+    long notice = in.readLong();
+    List<Report.TaskReport> tasks = new ArrayList<>();
+    for (int n = count(in); n > 0; n--) {
+      tasks.add(
+          new Report.TaskReport(
+              readTask(in),
+              in.readLong(),
+              pick(Report.Stage.values(), in.readByte()),
+              in.readUTF()));
+    }
+    return new Report(
+        machine,
+        address,
+        type,
+        zone,
+        spot,
+        session,
+        sequence,
+        token,
+        notice < 0 ? Optional.empty() : Optional.of(Duration.ofNanos(notice)),
+        tasks);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/protocol/Report.java
@@ -0,0 +1,71 @@
+package io.pearscale.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** What a worker says of its machine. */
+public record Report(
+    String machine,
+    String address,
+    String type,
+    String zone,
+    boolean spot,
+    long session,
+    long sequence,
+    long token,
+    Optional<Duration> notice,
+    List<TaskReport> tasks) {
+
+  /** What a task on the machine is at. */
+  public enum Stage {
+    FETCHING,
+    RUNNING,
+    FLUSHING,
+    ENDED
+  }
+
+  /** One task of a report. The cause is empty unless it has ended. */
+  public record TaskReport(TaskId task, long attempt, Stage stage, String cause) {}
+
+  /** Reads a report. */
+  public static Report parse(JsonNode body) throws Malformed {
+    JsonNode m = Fields.map(body);
+    List<TaskReport> tasks = new ArrayList<>();
+    for (JsonNode t : Fields.list(m, "pieces")) {
+      Fields.map(t);
+      Stage stage =
+          switch (Fields.text(t, "stage")) {
+            case "fetching", "waiting" -> Stage.FETCHING;
+            case "running" -> Stage.RUNNING;
+            case "flushing" -> Stage.FLUSHING;
+            case "ended" -> Stage.ENDED;
+            default -> throw new Malformed("stage: unknown");
+          };
+      tasks.add(
+          new TaskReport(
+              TaskId.parse(Fields.text(t, "piece")),
+              Fields.integer(t, "try", 0, Long.MAX_VALUE),
+              stage,
+              Fields.optText(t, "cause").orElse("")));
+    }
+    return new Report(
+        Fields.text(m, "hive"),
+        Fields.text(m, "address"),
+        Fields.text(m, "breed"),
+        Fields.text(m, "yard"),
+        Fields.flag(m, "windfall"),
+        Fields.integer(m, "stint", 0, Long.MAX_VALUE),
+        Fields.integer(m, "tally", 0, Long.MAX_VALUE),
+        Fields.integer(m, "baton", 0, Long.MAX_VALUE),
+        Fields.optAmount(m, "warningS").map(Fields::duration),
+        tasks);
+  }
+
+  /** Whether this is the later one of two messages of the same worker. */
+  public boolean newerThan(long otherSession, long otherSequence) {
+    return session > otherSession || (session == otherSession && sequence > otherSequence);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/protocol/Settings.java
@@ -0,0 +1,48 @@
+package io.pearscale.protocol;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+/** The platform's settings of one controller. */
+public record Settings(
+    String host,
+    String zone,
+    InetSocketAddress clientListen,
+    InetSocketAddress peerListen,
+    Map<String, InetSocketAddress> peers,
+    String cloud,
+    String state,
+    List<Team> teams,
+    List<Objective> objectives,
+    Workers workers,
+    State stateLimits,
+    Cloud cloudLimits,
+    int maxConnections) {
+
+  /** A team's guarantee and limit; an amount of 0 means that there is none. */
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+
+  /** What is expected of a class of jobs. */
+  public record Objective(String kind, String jobClass, Duration within) {}
+
+  /** The workers' times. */
+  public record Workers(Duration report, Duration lease, Duration cancel) {}
+
+  /** The limits of the state service. */
+  public record State(double rps, double writeRps, int valueBytes, int txnOps) {}
+
+  /** The limits of the cloud. */
+  public record Cloud(double rps, Duration listLag) {}
+
+  /**
+   * How long a leader may go on renewing leases after the last proof that it leads. After that, and
+   * a lease, every machine that it could have kept alive is empty; both together stay below the
+   * time that a cancelled task has, less a margin for delays.
+   */
+  public Duration hold() {
+    Duration room = workers.cancel().minus(workers.lease()).minusSeconds(6);
+    return room.compareTo(Duration.ofSeconds(1)) < 0 ? Duration.ofSeconds(1) : room;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/storage/StateClient.java
@@ -0,0 +1,150 @@
+package io.pearscale.storage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.Settings;
+import io.pearscale.transport.Calls;
+import io.pearscale.transport.Calls.Reply;
+import io.pearscale.transport.Loop;
+import io.pearscale.transport.MessagePack;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * Speaks to the state service within this controller's part of the rates. What would go over is
+ * answered 429 here, at once, so that three controllers together never flood the service.
+ */
+public final class StateClient {
+  private static final Duration QUICK = Duration.ofMillis(1500);
+  private static final Reply LIMITED = new Reply(429, MessagePack.MISSING);
+
+  private final Loop loop;
+  private final Calls calls;
+  private final String address;
+  private final Budget requests;
+  private final Budget writes;
+  private Optional<Instant> lastGood = Optional.empty();
+
+  /** Uses the service named in the settings. */
+  public StateClient(Loop loop, Calls calls, Settings settings) {
+    this.loop = loop;
+    this.calls = calls;
+    this.address = settings.state();
+    // Load is uneven: one controller may take half of all, which leaves room for the two others.
+    this.requests = new Budget(loop, settings.stateLimits().rps() * 0.5);
+    this.writes = new Budget(loop, settings.stateLimits().writeRps() * 0.6);
+  }
+
+  /** Part of a transaction. */
+  public record Guard(String key, long stamp) {}
+
+  /** A change: a value to write, or none to drop the key; the grant it hangs on, if any. */
+  public record Change(String key, Optional<JsonNode> value, Optional<Long> grant) {
+    /** Writes a value. */
+    public static Change write(String key, JsonNode value) {
+      return new Change(key, Optional.of(value), Optional.empty());
+    }
+
+    /** Removes a key. */
+    public static Change drop(String key) {
+      return new Change(key, Optional.empty(), Optional.empty());
+    }
+  }
+
+  /** When the service last answered as it should. */
+  public Optional<Instant> lastGood() {
+    return lastGood;
+  }
+
+  /** Whether so many changes could be sent now. */
+  public boolean canWrite(int changes) {
+    return writes.available(changes);
+  }
+
+  /** Carries out the changes if every guard holds. */
+  public void commit(List<Guard> guards, List<Change> changes, Consumer<Reply> answer) {
+    if (!writes.take(changes.size())) {
+      loop.execute(() -> answer.accept(LIMITED));
+      return;
+    }
+    ObjectNode body = MessagePack.map();
+    var g = body.putArray("guards");
+    guards.forEach(x -> g.addObject().put("key", x.key()).put("stamp", x.stamp()));
+    var t = body.putArray("then");
+    for (Change c : changes) {
+      ObjectNode n = t.addObject();
+      if (c.value().isPresent()) {
+        n.put("write", c.key());
+        n.set("value", c.value().get());
+        c.grant().ifPresent(x -> n.put("claim", x));
+      } else {
+        n.put("drop", c.key());
+      }
+    }
+    send("POST", "/commit", body, QUICK, answer);
+  }
+
+  /** Reads one key. */
+  public void read(String key, Consumer<Reply> answer) {
+    send("GET", "/keys/" + key, MessagePack.MISSING, QUICK, answer);
+  }
+
+  /** Reads a page of the keys with a prefix. */
+  public void list(String prefix, Optional<String> since, int limit, Consumer<Reply> answer) {
+    String path =
+        "/keys?prefix=" + prefix + since.map(s -> "&since=" + s).orElse("") + "&limit=" + limit;
+    send("GET", path, MessagePack.MISSING, Duration.ofSeconds(4), answer);
+  }
+
+  /** Waits for changes. */
+  public void watch(String prefix, long since, Duration block, Consumer<Reply> answer) {
+    String path = "/watch?prefix=" + prefix + "&since=" + since + "&blockMs=" + block.toMillis();
+    send("GET", path, MessagePack.MISSING, block.plus(Duration.ofSeconds(2)), answer);
+  }
+
+  /** Asks for a grant. */
+  public void grant(Duration ttl, Consumer<Reply> answer) {
+    send("POST", "/grants", MessagePack.map().put("ttlMs", ttl.toMillis()), QUICK, answer);
+  }
+
+  /** Renews a grant. */
+  public void extend(long grant, Consumer<Reply> answer) {
+    send("POST", "/grants/" + grant + "/extend", MessagePack.MISSING, QUICK, answer);
+  }
+
+  /** Ends a grant. */
+  public void revoke(long grant, Consumer<Reply> answer) {
+    send("DELETE", "/grants/" + grant, MessagePack.MISSING, QUICK, answer);
+  }
+
+  private void send(
+      String method, String path, JsonNode body, Duration timeout, Consumer<Reply> answer) {
+    if (!requests.take(1)) {
+      loop.execute(() -> answer.accept(LIMITED));
+      return;
+    }
+    calls.call(
+        address,
+        method,
+        path,
+        body,
+        timeout,
+        reply -> {
+          if (reply.status() == 200 || reply.status() == 409 || reply.status() == 404) {
+            lastGood = Optional.of(loop.clock().instant());
+          }
+          answer.accept(reply);
+        });
+  }
+
+  /** The keys that an answer of 409 names. */
+  public static List<String> failedGuards(Reply reply) {
+    List<String> keys = new ArrayList<>();
+    reply.body().path("failed").forEach(n -> keys.add(n.asText()));
+    return keys;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/transport/Calls.java
@@ -0,0 +1,38 @@
+package io.pearscale.transport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/** Outgoing HTTP requests. Nothing is ever sent twice by this layer: repeats are the caller's. */
+public interface Calls {
+  /**
+   * Sends one request.
+   *
+   * @param body what to send, or a missing node for no body
+   * @param answer gets exactly one reply, at the latest when the timeout has passed
+   */
+  void call(
+      String address,
+      String method,
+      String path,
+      JsonNode body,
+      Duration timeout,
+      Consumer<Reply> answer);
+
+  /**
+   * An answer, or the lack of one.
+   *
+   * @param status the HTTP status, or 0 when there was no answer: then the request may have been
+   *     carried out, or may be carried out later
+   */
+  record Reply(int status, JsonNode body) {
+    /** No answer came. */
+    public static final Reply NONE = new Reply(0, MessagePack.MISSING);
+
+    /** Whether the request was carried out. */
+    public boolean ok() {
+      return status == 200;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/transport/HttpCalls.java
@@ -0,0 +1,249 @@
+package io.pearscale.transport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Outgoing requests over Undertow's client, one at a time on a connection. A connection whose
+ * request timed out is closed, so that a late answer can never be taken for the answer to a later
+ * request. The number of connections is bounded, so that hanging hosts cannot eat up the sockets.
+ */
+public final class HttpCalls implements Calls {
+  private static final int MAX_RESPONSE = 64 << 20;
+  private static final int CONNECTING_PER_HOST = 3;
+  private static final int IDLE_PER_HOST = 6;
+
+  private final Loop loop;
+  private final XnioIoThread thread;
+  private final ByteBufferPool buffers;
+  private final int maxOpen;
+  private final Map<String, Host> hosts = new HashMap<>();
+  private int open;
+
+  /** Uses at most {@code maxOpen} sockets. */
+  public HttpCalls(Loop loop, XnioIoThread thread, ByteBufferPool buffers, int maxOpen) {
+    this.loop = loop;
+    this.thread = thread;
+    this.buffers = buffers;
+    this.maxOpen = maxOpen;
+  }
+
+  private static final class Host {
+    final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
+    int connecting;
+  }
+
+  /** One request, which is answered exactly once, whatever happens to its connection. */
+  private final class Pending implements ClientCallback<ClientExchange> {
+    final String address;
+    final Host host;
+    final ClientRequest request;
+    final byte[] body;
+    Consumer<Reply> answer;
+    ClientConnection connection;
+
+    Pending(String address, Host host, ClientRequest request, byte[] body, Consumer<Reply> answer) {
+      this.address = address;
+      this.host = host;
+      this.request = request;
+      this.body = body;
+      this.answer = answer;
+    }
+
+    void finish(Reply reply, boolean reusable) {
+      if (answer == null) {
+        return;
+      }
+      Consumer<Reply> to = answer;
+      answer = null;
+      if (connection != null) {
+        if (reusable && connection.isOpen() && host.idle.size() < IDLE_PER_HOST) {
+          host.idle.push(connection);
+        } else {
+          IoUtils.safeClose(connection);
+        }
+      }
+      to.accept(reply);
+    }
+
+    void send(ClientConnection on) {
+      connection = on;
+      on.sendRequest(request, this);
+    }
+
+    @Override
+    public void completed(ClientExchange exchange) {
+      exchange.setResponseListener(
+          new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange result) {
+              read(result);
+            }
+
+            @Override
+            public void failed(IOException e) {
+              finish(Reply.NONE, false);
+            }
+          });
+      if (body.length > 0) {
+        write(exchange.getRequestChannel(), ByteBuffer.wrap(body));
+      }
+    }
+
+    @Override
+    public void failed(IOException e) {
+      finish(Reply.NONE, false);
+    }
+
+    private void write(StreamSinkChannel channel, ByteBuffer data) {
+      try {
+        while (data.hasRemaining()) {
+          if (channel.write(data) == 0) {
+            channel.getWriteSetter().set(c -> write(channel, data));
+            channel.resumeWrites();
+            return;
+          }
+        }
+        channel.shutdownWrites();
+        if (!channel.flush()) {
+          channel
+              .getWriteSetter()
+              .set(
+                  ChannelListeners.flushingChannelListener(
+                      null, (c, e) -> finish(Reply.NONE, false)));
+          channel.resumeWrites();
+        } else {
+          channel.suspendWrites();
+        }
+      } catch (IOException e) {
+        finish(Reply.NONE, false);
+      }
+    }
+
+    private void read(ClientExchange exchange) {
+      int status = exchange.getResponse().getResponseCode();
+      boolean close =
+          "close"
+              .equalsIgnoreCase(exchange.getResponse().getResponseHeaders().getFirst("Connection"));
+      StreamSourceChannel channel = exchange.getResponseChannel();
+      ByteArrayOutputStream bytes = new ByteArrayOutputStream(512);
+      readMore(channel, bytes, status, close);
+    }
+
+    private void readMore(
+        StreamSourceChannel channel, ByteArrayOutputStream bytes, int status, boolean close) {
+      ByteBuffer buffer = ByteBuffer.allocate(8192);
+      try {
+        while (true) {
+          buffer.clear();
+          int n = channel.read(buffer);
+          if (n == 0) {
+            channel.getReadSetter().set(c -> readMore(channel, bytes, status, close));
+            channel.resumeReads();
+            return;
+          }
+          if (n < 0) {
+            JsonNode tree = MessagePack.decode(bytes.toByteArray()).orElse(MessagePack.MISSING);
+            finish(new Reply(status, tree), !close);
+            return;
+          }
+          bytes.write(buffer.array(), 0, n);
+          if (bytes.size() > MAX_RESPONSE) {
+            finish(Reply.NONE, false);
+            return;
+          }
+        }
+      } catch (IOException e) {
+        finish(Reply.NONE, false);
+      }
+    }
+  }
+
+  @Override
+  public void call(
+      String address,
+      String method,
+      String path,
+      JsonNode body,
+      Duration timeout,
+      Consumer<Reply> answer) {
+    byte[] bytes = body.isMissingNode() ? new byte[0] : MessagePack.encode(body);
+    ClientRequest request =
+        new ClientRequest().setMethod(HttpString.tryFromString(method)).setPath(path);
+    request.getRequestHeaders().put(Headers.HOST, address);
+    if (bytes.length > 0) {
+      request.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(bytes.length));
+      request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/msgpack");
+    } else if (!"GET".equals(method)) {
+      request.getRequestHeaders().put(Headers.CONTENT_LENGTH, "0");
+    }
+    Host host = hosts.computeIfAbsent(address, a -> new Host());
+    Pending pending = new Pending(address, host, request, bytes, answer);
+    loop.after(timeout, () -> pending.finish(Reply.NONE, false));
+    ClientConnection idle;
+    while ((idle = host.idle.poll()) != null) {
+      if (idle.isOpen()) {
+        pending.send(idle);
+        return;
+      }
+    }
+    if (host.connecting >= CONNECTING_PER_HOST || open >= maxOpen) {
+      loop.execute(() -> pending.finish(Reply.NONE, false));
+      return;
+    }
+    connect(pending);
+  }
+
+  private void connect(Pending pending) {
+    Host host = pending.host;
+    host.connecting++;
+    open++;
+    UndertowClient.getInstance()
+        .connect(
+            new ClientCallback<>() {
+              @Override
+              public void completed(ClientConnection connection) {
+                host.connecting--;
+                connection.getCloseSetter().set(c -> open--);
+                if (pending.answer == null) {
+                  IoUtils.safeClose(connection);
+                } else {
+                  pending.send(connection);
+                }
+              }
+
+              @Override
+              public void failed(IOException e) {
+                host.connecting--;
+                open--;
+                pending.finish(Reply.NONE, false);
+              }
+            },
+            URI.create("http://" + pending.address),
+            thread,
+            buffers,
+            OptionMap.EMPTY);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/transport/Links.java
@@ -0,0 +1,18 @@
+package io.pearscale.transport;
+
+import java.util.Set;
+
+/** Records to and from the other controllers. A record may get lost with its connection. */
+public interface Links {
+  /** Sends a record; false when there is no link to that peer, or its queue is full. */
+  boolean send(String peer, byte[] frame);
+
+  /** The peers that something was heard of lately. */
+  Set<String> connected();
+
+  /** Takes what the peers send. */
+  interface Receiver {
+    /** A whole record came in from the named peer. */
+    void received(String peer, byte[] frame);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/transport/XnioLoop.java
@@ -0,0 +1,45 @@
+package io.pearscale.transport;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
+
+/** The loop of a real process: the one XNIO thread that also moves the bytes. */
+public final class XnioLoop implements Loop {
+  private static final Logger LOG = LoggerFactory.getLogger(XnioLoop.class);
+  private final XnioIoThread thread;
+  private final SteadyClock clock = new SteadyClock();
+
+  /** Runs tasks on the given thread. */
+  public XnioLoop(XnioIoThread thread) {
+    this.thread = thread;
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    thread.execute(guarded(task));
+  }
+
+  @Override
+  public void after(Duration delay, Runnable task) {
+    thread.executeAfter(guarded(task), Math.max(1, delay.toMillis()), TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public InstantSource clock() {
+    return clock;
+  }
+
+  private static Runnable guarded(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        LOG.error("event=task_failed", e);
+      }
+    };
+  }
+}
