--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -131,6 +131,7 @@
   private final Map<String, JsonNode> rawProgress = new TreeMap<>();
   private final Map<String, JsonNode> rawHosts = new TreeMap<>();
   private final Map<String, MachineType> types = new LinkedHashMap<>();
+  private final Set<String> storedTypes = new HashSet<>();
   private long epoch;
   private boolean loaded;
 
@@ -267,8 +268,13 @@
           .ifPresentOrElse(e -> rawProgress.put(key, e.value()), () -> rawProgress.remove(key));
     } else if (Keys.isHost(key)) {
       c.entry().ifPresentOrElse(e -> rawHosts.put(key, e.value()), () -> rawHosts.remove(key));
-    } else if (key.equals(Keys.CATALOGUE) && c.entry().isPresent() && !leading) {
-      setTypes(MachineType.parseAll(c.entry().get().value()));
+    } else if (key.equals(Keys.CATALOGUE) && c.entry().isPresent()) {
+      List<MachineType> list = MachineType.parseAll(c.entry().get().value());
+      storedTypes.clear();
+      list.forEach(t -> storedTypes.add(t.name()));
+      if (!leading || types.isEmpty()) {
+        setTypes(list);
+      }
     }
   }
 
@@ -1263,7 +1269,7 @@
   }
 
   private boolean workToWrite() {
-    return !dirty.isEmpty() || !dirtyHosts.isEmpty() || !garbage.isEmpty();
+    return catalogueDirty || !dirty.isEmpty() || !dirtyHosts.isEmpty() || !garbage.isEmpty();
   }
 
   private void applied(Batch b) {
@@ -1600,12 +1606,9 @@
   private void cloudSaid(CloudActor.Event event) {
     Instant now = now();
     if (event instanceof CloudActor.Catalogue e) {
-      boolean same =
-          types.keySet().equals(new HashSet<>(e.types().stream().map(MachineType::name).toList()));
+      // Kept for restarts during an outage of the cloud; prices in it may be old.
       setTypes(e.types());
-      if (!same || catalogueDirty || !settledLogged) {
-        catalogueDirty = true;
-      }
+      catalogueDirty = !types.keySet().equals(storedTypes);
       planCommit();
     } else if (event instanceof CloudActor.Hired e) {
       renter.noteGranted(e.kind());
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -0,0 +1,259 @@
+package io.pearscale.sim;
+
+import io.pearscale.protocol.JobSpec;
+import io.pearscale.protocol.MachineType;
+import io.pearscale.protocol.Priority;
+import io.pearscale.protocol.Settings;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/** Reads a scenario's text, plays it, and says what did not come out as expected. */
+final class Scenario {
+  private final World world;
+  private final List<Runnable> expectations = new ArrayList<>();
+  private final List<String> failures = new ArrayList<>();
+  private Duration until = Duration.ofSeconds(60);
+
+  Scenario(long seed) {
+    world = new World(seed);
+  }
+
+  /** Plays the text; returns what went wrong, with the log of what happened. */
+  static List<String> play(String text, long seed) {
+    Scenario s = new Scenario(seed);
+    for (String line : text.split("\n")) {
+      String clean = line.replaceAll("#.*", "").strip();
+      if (!clean.isEmpty()) {
+        s.line(clean);
+      }
+    }
+    return s.run();
+  }
+
+  private List<String> run() {
+    world.nodes.values().forEach(SimNode::start);
+    world.audit();
+    world.playTo(until);
+    expectations.forEach(Runnable::run);
+    failures.addAll(world.broken);
+    if (!failures.isEmpty()) {
+      failures.addAll(world.log);
+    }
+    return failures;
+  }
+
+  private static Map<String, String> options(List<String> words) {
+    Map<String, String> options = new HashMap<>();
+    for (String w : words) {
+      String[] kv = w.split("=", 2);
+      options.put(kv[0], kv.length > 1 ? kv[1] : "true");
+    }
+    return options;
+  }
+
+  private static double number(Map<String, String> options, String key, double otherwise) {
+    return Double.parseDouble(options.getOrDefault(key, Double.toString(otherwise)));
+  }
+
+  static Duration seconds(String text) {
+    return Duration.ofMillis(Math.round(Double.parseDouble(text) * 1000));
+  }
+
+  private void line(String line) {
+    List<String> w = Arrays.asList(line.split("\\s+"));
+    Map<String, String> o = options(w.subList(1, w.size()));
+    switch (w.get(0)) {
+      case "nodes" -> {
+        for (int i = 0; i < Integer.parseInt(w.get(1)); i++) {
+          world.nodes.put("hive-" + i, new SimNode(world, "hive-" + i));
+        }
+      }
+      case "drift" -> world.nodes.get(w.get(1)).drift = Double.parseDouble(w.get(2));
+      case "zones" -> world.zones = w.subList(1, w.size());
+      case "type" -> world.cloud.types.put(w.get(1), type(w.get(1), o));
+      case "capacity" ->
+          world.cloud.capacity.put(
+              w.get(1) + "/" + w.get(2) + "/" + w.get(3), Integer.parseInt(w.get(4)));
+      case "machines" -> {
+        for (int i = 0; i < Integer.parseInt(w.get(4)); i++) {
+          world.cloud.rent(w.get(1), w.get(2), w.get(3).equals("spot"), Duration.ZERO);
+        }
+      }
+      case "team" ->
+          world.teams.add(
+              new Settings.Team(w.get(1), number(o, "cpus", 0), number(o, "cpus_max", 0), 0, 0));
+      case "class" ->
+          world.objectives.add(new Settings.Objective(w.get(2), w.get(1), seconds(w.get(3))));
+      case "faulty" -> world.cloud.faulty.addAll(w.subList(1, w.size()));
+      case "never-boot" -> world.cloud.neverBoot = Integer.parseInt(w.get(1));
+      case "until" -> until = seconds(w.get(1));
+      case "at" -> {
+        List<String> rest = w.subList(2, w.size());
+        world.at(world.now.plus(seconds(w.get(1))), () -> act(rest));
+      }
+      case "expect" -> expectations.add(() -> expect(w.subList(1, w.size()), line));
+      default -> throw new IllegalArgumentException("scenario: " + line);
+    }
+  }
+
+  private MachineType type(String name, Map<String, String> o) {
+    return new MachineType(
+        name,
+        number(o, "cpus", 8),
+        0,
+        number(o, "mem", 64),
+        100,
+        1,
+        number(o, "price", 1),
+        number(o, "spot", 0.4),
+        seconds(o.getOrDefault("boot", "5")),
+        world.zones);
+  }
+
+  static JobSpec job(String id, boolean service, Map<String, String> o) {
+    return new JobSpec(
+        id,
+        o.getOrDefault("class", "any"),
+        o.getOrDefault("team", "t"),
+        service,
+        Priority.parse(o.getOrDefault("priority", service ? "critical" : "normal")).orElseThrow(),
+        (int) number(o, "tasks", 1),
+        number(o, "cpus", 1),
+        0,
+        number(o, "mem", 1),
+        o.getOrDefault("image", "img"),
+        1,
+        Optional.ofNullable(o.get("types")).map(t -> List.of(t.split(","))),
+        Optional.ofNullable(o.get("zone")),
+        o.containsKey("one-zone"),
+        o.containsKey("spread"),
+        o.containsKey("spot"),
+        seconds(o.getOrDefault("run", "5")),
+        seconds(o.getOrDefault("checkpoint", "0")),
+        seconds(o.getOrDefault("save", "0")),
+        Optional.ofNullable(o.get("due")).map(Scenario::seconds));
+  }
+
+  /** The current leader, as the state service has it. */
+  private String name(String word) {
+    if (word.equals("leader") || word.equals("follower")) {
+      String leader =
+          world
+              .state
+              .leader()
+              .orElseThrow(() -> new IllegalStateException("scenario: nobody leads"));
+      return word.equals("leader")
+          ? leader
+          : world.nodes.keySet().stream().filter(n -> !n.equals(leader)).findFirst().get();
+    }
+    if (word.startsWith("host:")) {
+      return world.present.stream()
+          .filter(p -> p.task().toString().equals(word.substring(5)))
+          .map(p -> p.worker().name)
+          .findFirst()
+          .orElseThrow(() -> new IllegalStateException("scenario: not running: " + word));
+    }
+    return remembered.getOrDefault(word, word);
+  }
+
+  private final Map<String, String> remembered = new HashMap<>();
+
+  private void act(List<String> w) {
+    String verb = w.get(0);
+    world.note("do " + String.join(" ", w));
+    switch (verb) {
+      case "call" -> remembered.put(w.get(2), name(w.get(1)));
+      case "submit" -> {
+        Map<String, String> o = options(w.subList(3, w.size()));
+        JobSpec spec = job(w.get(1), w.get(2).equals("service"), o);
+        SimUser u = new SimUser(world, spec, spec.estimate());
+        world.submitted.put(spec.id(), spec);
+        world.users.put(spec.id(), u);
+        u.submit();
+      }
+      case "resubmit" -> world.users.get(w.get(1)).submit();
+      case "cancel" -> world.users.get(w.get(1)).cancel();
+      case "crash" -> nodes(w.get(1)).forEach(SimNode::crash);
+      case "start" -> nodes(w.get(1)).forEach(SimNode::start);
+      case "cut" -> world.cut(name(w.get(1)), name(w.get(2)), w.contains("hold"));
+      case "heal" -> world.heal(name(w.get(1)), name(w.get(2)));
+      case "down" -> {
+        if (w.get(1).equals("state")) {
+          world.state.down = true;
+        } else {
+          world.cloud.down = true;
+        }
+      }
+      case "up" -> {
+        if (w.get(1).equals("state")) {
+          world.state.up();
+        } else {
+          world.cloud.down = false;
+        }
+      }
+      case "refuse" -> world.state.refuses.add(name(w.get(1)));
+      case "serve" -> world.state.refuses.remove(name(w.get(1)));
+      case "late-commits" -> {
+        world.state.lateCommits = Integer.parseInt(w.get(1));
+        world.state.lateBy = seconds(w.get(2));
+      }
+      case "kill-machine" -> world.workers.get(name(w.get(1))).die();
+      case "take" -> world.cloud.take(name(w.get(1)));
+      case "notice" -> {
+        String machine = name(w.get(1));
+        world.workers.get(machine).warn(seconds(w.get(2)));
+        world.after(seconds(w.get(2)), () -> world.cloud.take(machine));
+      }
+      case "hang" -> world.workers.get(name(w.get(1))).hang();
+      case "resume" -> world.workers.get(name(w.get(1))).resume();
+      case "inject" -> world.nodes.get(name(w.get(1))).inject(HexFormat.of().parseHex(w.get(2)));
+      case "check" -> expect(w.subList(1, w.size()), String.join(" ", w));
+      default -> throw new IllegalArgumentException("scenario: " + w);
+    }
+  }
+
+  private List<SimNode> nodes(String word) {
+    return word.equals("all")
+        ? List.copyOf(world.nodes.values())
+        : List.of(world.nodes.get(name(word)));
+  }
+
+  private void expect(List<String> w, String line) {
+    Predicate<SimUser> test =
+        switch (w.get(1)) {
+          case "done" ->
+              u ->
+                  u.stage.equals("done")
+                      && (w.size() < 4
+                          || Duration.between(World.START, u.doneAt).compareTo(seconds(w.get(3)))
+                              <= 0);
+          case "stage" -> u -> u.stage.equals(w.get(2));
+          case "present" ->
+              u ->
+                  world.present.stream().filter(p -> p.task().job().equals(u.spec.id())).count()
+                      == Long.parseLong(w.get(2));
+          default -> null;
+        };
+    boolean good;
+    if (w.get(0).equals("rentals")) {
+      good = world.cloud.rentals <= Integer.parseInt(w.get(2));
+    } else if (w.get(0).equals("leader")) {
+      good = world.state.leader().isPresent();
+    } else if (w.get(0).equals("starts")) {
+      good = world.starts.getOrDefault(w.get(1), 0) <= Integer.parseInt(w.get(3));
+    } else {
+      SimUser u = world.users.get(w.get(0));
+      good = u != null && test.test(u);
+    }
+    if (!good) {
+      failures.add("at " + world.passed() + " not met: " + line);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/SimCloud.java
@@ -0,0 +1,152 @@
+package io.pearscale.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.MachineType;
+import io.pearscale.transport.Calls.Reply;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** A stand-in for the cloud, by its protocol: names, boot times, a list that lags. */
+final class SimCloud {
+  private record Rented(String name, String type, String zone, boolean spot, Instant at) {}
+
+  private final World world;
+  final Map<String, MachineType> types = new TreeMap<>();
+  final Map<String, Integer> capacity = new HashMap<>();
+  private final TreeMap<String, Rented> rented = new TreeMap<>();
+  private final Map<String, List<String>> answers = new HashMap<>();
+  private int count;
+  boolean down;
+  Duration lag = Duration.ofSeconds(6);
+  int neverBoot;
+  int rentals;
+  final Set<String> faulty = new HashSet<>();
+
+  SimCloud(World world) {
+    this.world = world;
+  }
+
+  private static String kind(String type, String zone, boolean spot) {
+    return type + "/" + zone + "/" + (spot ? "spot" : "ordinary");
+  }
+
+  void serve(String method, String path, JsonNode body, Consumer<Reply> answer) {
+    if (down) {
+      answer.accept(new Reply(503, World.map().put("error", "trouble")));
+    } else if (path.equals("/catalog")) {
+      ObjectNode n = World.map();
+      var list = n.putArray("breeds");
+      types.values().forEach(t -> list.add(t.toNode()));
+      answer.accept(new Reply(200, n));
+    } else if (path.equals("/hosts")) {
+      hire(body, answer);
+    } else if (path.equals("/hosts/delete")) {
+      for (JsonNode n : body.path("hives")) {
+        take(n.asText());
+      }
+      answer.accept(new Reply(200, World.map()));
+    } else {
+      list(answer);
+    }
+  }
+
+  private void hire(JsonNode b, Consumer<Reply> answer) {
+    String request = b.path("hire").asText();
+    if (answers.containsKey(request)) {
+      answer.accept(names(answers.get(request)));
+      return;
+    }
+    String kind =
+        kind(b.path("breed").asText(), b.path("yard").asText(), b.path("windfall").asBoolean());
+    int left = capacity.getOrDefault(kind, 0);
+    int n = Math.min(left, b.path("count").asInt());
+    if (n == 0) {
+      answer.accept(new Reply(503, World.map().put("error", "no capacity")));
+      return;
+    }
+    capacity.put(kind, left - n);
+    List<String> names = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      names.add(
+          rent(
+              b.path("breed").asText(),
+              b.path("yard").asText(),
+              b.path("windfall").asBoolean(),
+              types.get(b.path("breed").asText()).boot()));
+    }
+    answers.put(request, names);
+    answer.accept(names(names));
+  }
+
+  /** A machine comes into being; its worker starts when it has booted. */
+  String rent(String type, String zone, boolean spot, Duration boot) {
+    String name = "m-%06d".formatted(count++);
+    rented.put(name, new Rented(name, type, zone, spot, world.now));
+    rentals++;
+    if (neverBoot > 0) {
+      neverBoot--;
+      return name;
+    }
+    world.after(
+        boot,
+        () -> {
+          if (rented.containsKey(name)) {
+            SimWorker w = new SimWorker(world, name, types.get(type), zone, spot);
+            w.faulty = faulty.contains(name);
+            world.workers.put(name, w);
+            w.start();
+          }
+        });
+    return name;
+  }
+
+  private static Reply names(List<String> names) {
+    ObjectNode n = World.map();
+    var list = n.putArray("hives");
+    names.forEach(list::add);
+    return new Reply(200, n);
+  }
+
+  /** The machine and everything on it is gone. */
+  void take(String name) {
+    Rented r = rented.remove(name);
+    if (r == null) {
+      return;
+    }
+    capacity.merge(kind(r.type, r.zone, r.spot), 1, Integer::sum);
+    SimWorker w = world.workers.get(name);
+    if (w != null) {
+      w.die();
+    }
+    world.note(name + " gone");
+  }
+
+  private void list(Consumer<Reply> answer) {
+    ObjectNode n = World.map().put("more", false);
+    var list = n.putArray("hives");
+    for (Rented r : rented.values()) {
+      if (r.at.plus(lag).isAfter(world.now)) {
+        continue;
+      }
+      SimWorker w = world.workers.get(r.name);
+      list.addObject()
+          .put("uid", r.name)
+          .put("address", r.name)
+          .put("breed", r.type)
+          .put("yard", r.zone)
+          .put("windfall", r.spot)
+          .put("stage", w == null ? "booting" : w.isDead() ? "failed" : "running")
+          .put("ageS", Duration.between(r.at, world.now).toSeconds());
+    }
+    answer.accept(new Reply(200, n));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/SimState.java
@@ -0,0 +1,259 @@
+package io.pearscale.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.transport.Calls.Reply;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** A stand-in for the state service, by its protocol. */
+final class SimState {
+  private record Pair(JsonNode value, long stamp, long claim) {}
+
+  private record Changed(String key, JsonNode value, long stamp) {}
+
+  private record Watch(String prefix, long since, Consumer<Reply> answer) {}
+
+  private final World world;
+  private final TreeMap<String, Pair> pairs = new TreeMap<>();
+  private final List<Changed> history = new ArrayList<>();
+  private final Map<Long, Instant> grants = new HashMap<>();
+  private final Map<Long, Duration> ttls = new HashMap<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private long epoch;
+  private long claims;
+  boolean down;
+  final Set<String> refuses = new HashSet<>();
+
+  /** The next so many commits of anybody are applied late, and their answers are lost. */
+  int lateCommits;
+
+  Duration lateBy = Duration.ofSeconds(5);
+
+  SimState(World world) {
+    this.world = world;
+  }
+
+  /** After an outage every lease has its full time again. */
+  void up() {
+    down = false;
+    grants.replaceAll((id, end) -> world.now.plus(ttls.get(id)));
+  }
+
+  private static Reply ok(JsonNode body) {
+    return new Reply(200, body);
+  }
+
+  void serve(String from, String method, String path, JsonNode body, Consumer<Reply> answer) {
+    if (path.startsWith("/watch")) {
+      watch(from, path, answer);
+      return;
+    }
+    if (down || refuses.contains(from)) {
+      answer.accept(new Reply(503, World.map()));
+      return;
+    }
+    expire();
+    if (path.startsWith("/keys/")) {
+      String key = path.substring(6);
+      Pair p = pairs.get(key);
+      if (p == null) {
+        answer.accept(new Reply(404, World.map().put("epoch", epoch)));
+      } else {
+        ObjectNode n = World.map().put("key", key).put("stamp", p.stamp);
+        n.set("value", p.value);
+        answer.accept(ok(n));
+      }
+    } else if (path.startsWith("/keys?")) {
+      list(query(path), answer);
+    } else if (path.equals("/commit")) {
+      if (lateCommits > 0) {
+        lateCommits--;
+        world.after(lateBy, () -> commit(body, r -> {}));
+        return;
+      }
+      commit(body, answer);
+    } else if (path.equals("/grants")) {
+      Duration ttl = Duration.ofMillis(body.path("ttlMs").asLong());
+      grants.put(++claims, world.now.plus(ttl));
+      ttls.put(claims, ttl);
+      long id = claims;
+      world.after(ttl, () -> expireLater(id));
+      answer.accept(ok(World.map().put("claim", id)));
+    } else if (path.startsWith("/grants/")) {
+      long id = Long.parseLong(path.split("/")[2]);
+      if (!grants.containsKey(id)) {
+        answer.accept(new Reply(404, World.map()));
+      } else if (method.equals("DELETE")) {
+        grants.put(id, world.now.minusMillis(1));
+        expire();
+        answer.accept(ok(World.map()));
+      } else {
+        grants.put(id, world.now.plus(ttls.get(id)));
+        answer.accept(ok(World.map()));
+      }
+    }
+  }
+
+  private void expireLater(long id) {
+    Instant end = grants.get(id);
+    if (end == null) {
+      return;
+    }
+    if (end.isAfter(world.now)) {
+      world.at(end, () -> expireLater(id));
+    } else if (down) {
+      world.after(Duration.ofMillis(100), () -> expireLater(id));
+    } else {
+      expire();
+    }
+  }
+
+  private void expire() {
+    if (down) {
+      return;
+    }
+    for (long id : List.copyOf(grants.keySet())) {
+      if (grants.get(id).isBefore(world.now) || grants.get(id).equals(world.now)) {
+        grants.remove(id);
+        for (String key : List.copyOf(pairs.keySet())) {
+          if (pairs.get(key).claim == id) {
+            pairs.remove(key);
+            epoch++;
+            history.add(new Changed(key, null, epoch));
+          }
+        }
+      }
+    }
+    notifyWatches();
+  }
+
+  private static Map<String, String> query(String path) {
+    Map<String, String> q = new HashMap<>();
+    for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+      String[] kv = part.split("=", 2);
+      q.put(kv[0], kv[1]);
+    }
+    return q;
+  }
+
+  private void list(Map<String, String> q, Consumer<Reply> answer) {
+    ObjectNode n = World.map().put("epoch", epoch);
+    var list = n.putArray("pairs");
+    int left = Integer.parseInt(q.get("limit"));
+    boolean more = false;
+    for (var e : pairs.tailMap(q.getOrDefault("since", q.get("prefix")), false).entrySet()) {
+      if (!e.getKey().startsWith(q.get("prefix"))) {
+        break;
+      }
+      if (left-- == 0) {
+        more = true;
+        break;
+      }
+      list.addObject()
+          .put("key", e.getKey())
+          .put("stamp", e.getValue().stamp)
+          .set("value", e.getValue().value);
+    }
+    answer.accept(ok(n.put("more", more)));
+  }
+
+  private void commit(JsonNode body, Consumer<Reply> answer) {
+    List<String> failed = new ArrayList<>();
+    for (JsonNode g : body.path("guards")) {
+      Pair p = pairs.get(g.path("key").asText());
+      if ((p == null ? 0 : p.stamp) != g.path("stamp").asLong()) {
+        failed.add(g.path("key").asText());
+      }
+    }
+    if (!failed.isEmpty()) {
+      ObjectNode n = World.map().put("epoch", epoch);
+      var list = n.putArray("failed");
+      failed.forEach(list::add);
+      answer.accept(new Reply(409, n));
+      return;
+    }
+    for (JsonNode c : body.path("then")) {
+      if (c.has("claim") && !grants.containsKey(c.path("claim").asLong())) {
+        answer.accept(new Reply(400, World.map().put("error", "no such lease")));
+        return;
+      }
+    }
+    epoch++;
+    for (JsonNode c : body.path("then")) {
+      if (c.hasNonNull("write")) {
+        String key = c.path("write").asText();
+        pairs.put(key, new Pair(c.path("value"), epoch, c.path("claim").asLong(0)));
+        history.add(new Changed(key, c.path("value"), epoch));
+      } else if (pairs.remove(c.path("drop").asText()) != null) {
+        history.add(new Changed(c.path("drop").asText(), null, epoch));
+      }
+    }
+    notifyWatches();
+    answer.accept(ok(World.map().put("epoch", epoch)));
+  }
+
+  private void watch(String from, String path, Consumer<Reply> answer) {
+    Map<String, String> q = query(path);
+    Watch w = new Watch(q.get("prefix"), Long.parseLong(q.get("since")), answer);
+    long block = Long.parseLong(q.get("blockMs"));
+    if (down || refuses.contains(from)) {
+      answer.accept(new Reply(503, World.map()));
+      return;
+    }
+    if (block == 0 || !events(w).isEmpty()) {
+      tell(w);
+      return;
+    }
+    watches.add(w);
+    world.after(
+        Duration.ofMillis(block),
+        () -> {
+          if (!down && watches.remove(w)) {
+            tell(w);
+          }
+        });
+  }
+
+  private List<Changed> events(Watch w) {
+    return history.stream().filter(c -> c.stamp > w.since && c.key.startsWith(w.prefix)).toList();
+  }
+
+  private void tell(Watch w) {
+    ObjectNode n = World.map().put("epoch", epoch);
+    var list = n.putArray("events");
+    for (Changed c : events(w)) {
+      ObjectNode e = list.addObject().put(c.value == null ? "drop" : "write", c.key);
+      e.put("stamp", c.stamp);
+      if (c.value != null) {
+        e.set("value", c.value);
+      }
+    }
+    w.answer.accept(ok(n));
+  }
+
+  private void notifyWatches() {
+    if (down) {
+      return;
+    }
+    for (Watch w : List.copyOf(watches)) {
+      if (!events(w).isEmpty()) {
+        watches.remove(w);
+        tell(w);
+      }
+    }
+  }
+
+  Optional<String> leader() {
+    return Optional.ofNullable(pairs.get("c/lead")).map(p -> p.value.path("node").asText());
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/SimUser.java
@@ -0,0 +1,137 @@
+package io.pearscale.sim;
+
+import io.pearscale.protocol.JobSpec;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.protocol.TaskId;
+import io.pearscale.transport.Calls.Reply;
+import io.pearscale.transport.MessagePack;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** The user of one job: submits, polls, maybe cancels, and holds the service to its answers. */
+final class SimUser {
+  private final World world;
+  final JobSpec spec;
+  final Duration run;
+  boolean accepted;
+  Instant cancelledAt;
+  private boolean cancelAsked;
+  String stage = "";
+  Instant doneAt;
+  private boolean polling;
+
+  SimUser(World world, JobSpec spec, Duration run) {
+    this.world = world;
+    this.spec = spec;
+    this.run = run;
+  }
+
+  static TaskId task(String text) {
+    try {
+      return TaskId.parse(text);
+    } catch (Malformed e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
+  void submit() {
+    send(
+        "POST",
+        "/work",
+        spec.toNode(),
+        r -> {
+          if (r.status() == 201 || r.status() == 200) {
+            if (!accepted) {
+              world.note("user: " + spec.id() + " accepted");
+            }
+            accepted = true;
+            heard(r.body().path("stage").asText());
+            if (!polling) {
+              polling = true;
+              world.after(Duration.ofSeconds(2), this::poll);
+            }
+          } else if (accepted && (r.status() == 400 || r.status() == 422)) {
+            world.breaks("forgotten", spec.id() + " answered " + r.status());
+          } else if (r.status() != 400 && r.status() != 422) {
+            world.after(Duration.ofSeconds(1), this::submit);
+          } else {
+            stage = "refused-" + r.status();
+          }
+        });
+  }
+
+  private void send(
+      String method,
+      String path,
+      com.fasterxml.jackson.databind.JsonNode body,
+      Consumer<Reply> answer) {
+    var node = world.randomHealthyNode();
+    if (node.isEmpty()) {
+      world.after(Duration.ofMillis(100), () -> answer.accept(Reply.NONE));
+    } else {
+      world.request("user", node.get().name, method, path, body, Duration.ofSeconds(4), answer);
+    }
+  }
+
+  private void heard(String s) {
+    boolean settled = stage.equals("done") || stage.equals("withdrawn");
+    if (settled && !s.equals(stage)) {
+      world.breaks("went_back", spec.id() + " was " + stage + ", is called " + s);
+    }
+    if (s.equals("withdrawn") && !cancelAsked) {
+      world.breaks("went_back", spec.id() + " withdrawn, but nobody cancelled it");
+    }
+    if (s.equals("done") && !stage.equals("done")) {
+      doneAt = world.now;
+      world.note("user: " + spec.id() + " done");
+      Set<TaskId> done = SimWorker.completed(world);
+      for (int i = 0; i < spec.tasks(); i++) {
+        if (!done.contains(new TaskId(spec.id(), i))) {
+          world.breaks("not_done", spec.id() + "/" + i);
+        }
+      }
+    }
+    if (s.equals("withdrawn") && cancelledAt == null) {
+      cancelledAt = world.now;
+    }
+    stage = s;
+  }
+
+  void poll() {
+    send(
+        "GET",
+        "/work/" + spec.id(),
+        MessagePack.MISSING,
+        r -> {
+          if (r.status() == 200) {
+            heard(r.body().path("stage").asText());
+          } else if (r.status() == 404) {
+            world.breaks("forgotten", spec.id() + " answered 404");
+          }
+          world.after(Duration.ofSeconds(3), this::poll);
+        });
+  }
+
+  void cancel() {
+    cancelAsked = true;
+    send(
+        "POST",
+        "/work/" + spec.id() + "/cancel",
+        MessagePack.MISSING,
+        r -> {
+          if (r.status() == 200) {
+            heard(r.body().path("stage").asText());
+          } else if (r.status() == 404 && accepted) {
+            world.breaks("forgotten", spec.id() + " cancel answered 404");
+          } else {
+            world.after(Duration.ofSeconds(1), this::cancel);
+          }
+        });
+  }
+
+  boolean over() {
+    return stage.equals("done") || stage.equals("withdrawn");
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/SimWorker.java
@@ -0,0 +1,354 @@
+package io.pearscale.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.JobSpec;
+import io.pearscale.protocol.MachineType;
+import io.pearscale.protocol.TaskId;
+import io.pearscale.transport.Calls.Reply;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** A stand-in for a worker, by its protocol: reports, orders, tokens, sessions, leases. */
+final class SimWorker {
+  private static final Duration TIMEOUT = Duration.ofSeconds(4);
+
+  private record Key(TaskId task, long attempt) {}
+
+  private static final class Task {
+    String stage = "fetching";
+    String cause = "";
+    boolean started;
+  }
+
+  private final World world;
+  final String name;
+  final MachineType type;
+  final String zone;
+  final boolean spot;
+  private final Map<Key, Task> tasks = new LinkedHashMap<>();
+  private final Set<String> images = new HashSet<>();
+  private static final Map<World, Set<TaskId>> COMPLETED = new java.util.WeakHashMap<>();
+  private long session = 1;
+  private long sequence;
+  private long token;
+  private Instant leaseFrom;
+  private int node;
+  private boolean reporting;
+  private boolean dead;
+  private boolean hung;
+  private final List<Runnable> whileHung = new ArrayList<>();
+  private Instant lastReport = Instant.MIN;
+  private long timer;
+  boolean faulty;
+  Duration notice;
+  private Instant noticeEnd;
+
+  SimWorker(World world, String name, MachineType type, String zone, boolean spot) {
+    this.world = world;
+    this.name = name;
+    this.type = type;
+    this.zone = zone;
+    this.spot = spot;
+  }
+
+  void start() {
+    leaseFrom = world.now;
+    node = world.random.nextInt(world.nodes.size());
+    world.note(name + " is up in " + zone);
+    checkLease();
+    report();
+  }
+
+  boolean isDead() {
+    return dead;
+  }
+
+  static Set<TaskId> completed(World world) {
+    return COMPLETED.computeIfAbsent(world, w -> new HashSet<>());
+  }
+
+  /** Power off. */
+  void die() {
+    dead = true;
+    clearTasks();
+  }
+
+  void hang() {
+    hung = true;
+  }
+
+  void resume() {
+    hung = false;
+    List<Runnable> late = List.copyOf(whileHung);
+    whileHung.clear();
+    late.forEach(Runnable::run);
+  }
+
+  void warn(Duration left) {
+    noticeEnd = world.now.plus(left);
+    reportSoon();
+  }
+
+  private void alive(Runnable r) {
+    if (dead) {
+      return;
+    }
+    if (hung) {
+      whileHung.add(() -> alive(r));
+    } else {
+      r.run();
+    }
+  }
+
+  private void clearTasks() {
+    tasks.forEach(
+        (k, t) -> {
+          if (t.started && !t.stage.equals("ended")) {
+            world.taskGone(this, k.task, k.attempt);
+          }
+        });
+    tasks.clear();
+  }
+
+  private void checkLease() {
+    alive(
+        () -> {
+          if (world.now.isAfter(leaseFrom.plus(world.lease))) {
+            if (!tasks.isEmpty()) {
+              world.note(name + " lease over, " + tasks.size() + " tasks killed");
+            }
+            clearTasks();
+            session++;
+            sequence = 0;
+            leaseFrom = world.now;
+          }
+          world.after(Duration.ofMillis(200), this::checkLease);
+        });
+  }
+
+  private ObjectNode body() {
+    ObjectNode n =
+        World.map()
+            .put("hive", name)
+            .put("address", name)
+            .put("breed", type.name())
+            .put("yard", zone)
+            .put("windfall", spot)
+            .put("stint", session)
+            .put("tally", ++sequence)
+            .put("baton", token);
+    if (noticeEnd != null) {
+      n.put("warningS", Math.max(0, Duration.between(world.now, noticeEnd).toMillis() / 1000.0));
+    }
+    var list = n.putArray("pieces");
+    tasks.forEach(
+        (k, t) -> {
+          ObjectNode p =
+              list.addObject()
+                  .put("piece", k.task.toString())
+                  .put("try", k.attempt)
+                  .put("stage", t.stage);
+          if (t.stage.equals("ended")) {
+            p.put("cause", t.cause);
+          }
+        });
+    return n;
+  }
+
+  private void report() {
+    alive(
+        () -> {
+          if (reporting) {
+            return;
+          }
+          timer++;
+          reporting = true;
+          Instant sent = world.now;
+          lastReport = sent;
+          long sentSession = session;
+          String to = List.copyOf(world.nodes.keySet()).get(node);
+          world.request(
+              name,
+              to,
+              "POST",
+              "/checkin",
+              body(),
+              TIMEOUT,
+              r -> alive(() -> answered(sent, sentSession, r)));
+        });
+  }
+
+  private void answered(Instant sent, long sentSession, Reply r) {
+    reporting = false;
+    if (r.status() == 200) {
+      long t = r.body().path("baton").asLong();
+      if (t >= token && sentSession == session) {
+        boolean higher = t > token;
+        token = t;
+        leaseFrom = sent;
+        r.body().path("orders").forEach(this::execute);
+        if (higher) {
+          reportSoon();
+        }
+      }
+      next(jitter());
+    } else {
+      if (r.status() == 421 && world.nodes.containsKey(r.body().path("foreman").asText())) {
+        node = List.copyOf(world.nodes.keySet()).indexOf(r.body().path("foreman").asText());
+        next(Duration.ofMillis(200));
+        return;
+      }
+      node = (node + 1) % world.nodes.size();
+      next(Duration.ofSeconds(1));
+    }
+  }
+
+  private Duration jitter() {
+    return Duration.ofMillis(
+        (long) (world.report.toMillis() * (0.75 + world.random.nextDouble() * 0.5)));
+  }
+
+  private void next(Duration delay) {
+    long mine = ++timer;
+    world.after(
+        delay,
+        () -> {
+          if (mine == timer) {
+            report();
+          }
+        });
+  }
+
+  private void reportSoon() {
+    if (!reporting) {
+      Instant soonest = lastReport.equals(Instant.MIN) ? world.now : lastReport.plusMillis(500);
+      next(soonest.isAfter(world.now) ? Duration.between(world.now, soonest) : Duration.ZERO);
+    } else {
+      world.after(Duration.ofMillis(500), () -> alive(this::reportSoonIfIdle));
+    }
+  }
+
+  private void reportSoonIfIdle() {
+    if (!reporting) {
+      reportSoon();
+    }
+  }
+
+  void serve(String method, String path, JsonNode body, Consumer<Reply> answer) {
+    alive(
+        () -> {
+          if (path.equals("/status")) {
+            answer.accept(new Reply(200, body()));
+            return;
+          }
+          long t = body.path("baton").asLong();
+          if (t < token || body.path("stint").asLong() != session) {
+            answer.accept(new Reply(409, body()));
+            return;
+          }
+          boolean higher = t > token;
+          token = t;
+          body.path("orders").forEach(this::execute);
+          answer.accept(new Reply(200, body()));
+          if (higher) {
+            reportSoon();
+          }
+        });
+  }
+
+  private void execute(JsonNode o) {
+    TaskId task = SimUser.task(o.path("piece").asText());
+    Key key = new Key(task, o.path("try").asLong());
+    Task t = tasks.get(key);
+    switch (o.path("verb").asText()) {
+      case "run" -> {
+        if (t == null) {
+          run(key);
+        }
+      }
+      case "kill" -> {
+        if (t != null && !t.stage.equals("ended")) {
+          end(key, t, "stopped");
+        }
+      }
+      default -> {
+        if (t != null && t.stage.equals("ended")) {
+          tasks.remove(key);
+        }
+      }
+    }
+    reportSoon();
+  }
+
+  private void run(Key key) {
+    Task t = new Task();
+    tasks.put(key, t);
+    JobSpec spec = world.submitted.get(key.task.job());
+    double used = 0;
+    for (Map.Entry<Key, Task> e : tasks.entrySet()) {
+      if (!e.getKey().equals(key) && !e.getValue().stage.equals("ended")) {
+        if (e.getKey().task.equals(key.task)) {
+          end(key, t, "busy");
+          return;
+        }
+        used += world.submitted.get(e.getKey().task.job()).cpus();
+      }
+    }
+    if (spec == null || used + spec.cpus() > type.cpus() + 1e-6) {
+      end(key, t, spec == null ? "no_such" : "no_room");
+      return;
+    }
+    Duration fetch = images.contains(spec.image()) ? Duration.ofMillis(10) : Duration.ofSeconds(1);
+    world.after(
+        fetch,
+        () ->
+            alive(
+                () -> {
+                  if (tasks.get(key) != t || !t.stage.equals("fetching")) {
+                    return;
+                  }
+                  images.add(spec.image());
+                  if (completed(world).contains(key.task)) {
+                    end(key, t, "done");
+                    return;
+                  }
+                  t.stage = "running";
+                  t.started = true;
+                  world.taskStarts(this, key.task, key.attempt);
+                  reportSoon();
+                  if (faulty) {
+                    world.after(
+                        Duration.ofMillis(300), () -> alive(() -> endIfRunning(key, t, "error")));
+                  } else if (!spec.service()) {
+                    Duration run = world.users.get(spec.id()).run;
+                    world.after(run, () -> alive(() -> endIfRunning(key, t, "done")));
+                  }
+                }));
+  }
+
+  private void endIfRunning(Key key, Task t, String cause) {
+    if (tasks.get(key) == t && t.stage.equals("running")) {
+      if (cause.equals("done")) {
+        completed(world).add(key.task);
+      }
+      end(key, t, cause);
+    }
+  }
+
+  private void end(Key key, Task t, String cause) {
+    if (t.started) {
+      world.taskGone(this, key.task, key.attempt);
+    }
+    t.stage = "ended";
+    t.cause = cause;
+    reportSoon();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -0,0 +1,293 @@
+package io.pearscale.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.JobSpec;
+import io.pearscale.protocol.Settings;
+import io.pearscale.protocol.TaskId;
+import io.pearscale.transport.Calls.Reply;
+import io.pearscale.transport.MessagePack;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+/**
+ * A simulated world: clock, network, state service, cloud, workers, users and controllers, all in
+ * one thread and repeatable from a seed. It checks the rules after every event that could break
+ * one.
+ */
+final class World {
+  private record Event(Instant at, long order, Runnable task) {}
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          (a, b) -> a.at.equals(b.at) ? Long.compare(a.order, b.order) : a.at.compareTo(b.at));
+  private long order;
+  static final Instant START = Instant.EPOCH.plusSeconds(1000);
+  Instant now = START;
+  final RandomGenerator random;
+  final List<String> broken = new ArrayList<>();
+  final List<String> log = new ArrayList<>();
+
+  final SimState state = new SimState(this);
+  final SimCloud cloud = new SimCloud(this);
+  final Map<String, SimNode> nodes = new LinkedHashMap<>();
+  final Map<String, SimWorker> workers = new TreeMap<>();
+  final Map<String, SimUser> users = new LinkedHashMap<>();
+  final Map<String, JobSpec> submitted = new HashMap<>();
+
+  // Settings of the simulated deployment.
+  List<String> zones = List.of("a", "b");
+  Duration report = Duration.ofSeconds(2);
+  Duration lease = Duration.ofSeconds(16);
+  Duration cancel = Duration.ofSeconds(36);
+  final List<Settings.Team> teams = new ArrayList<>();
+  final List<Settings.Objective> objectives = new ArrayList<>();
+
+  // Faults of the network.
+  private final Set<String> cuts = new HashSet<>();
+  private final Set<String> holds = new HashSet<>();
+  private final Map<String, List<Runnable>> held = new HashMap<>();
+
+  World(long seed) {
+    random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+  }
+
+  void at(Instant when, Runnable task) {
+    events.add(new Event(when.isBefore(now) ? now : when, order++, task));
+  }
+
+  void after(Duration delay, Runnable task) {
+    at(now.plus(delay), task);
+  }
+
+  /** Plays until so long after the start. */
+  void playTo(Duration when) {
+    Instant end = START.plus(when);
+    while (!events.isEmpty() && !events.peek().at.isAfter(end)) {
+      Event e = events.poll();
+      now = e.at;
+      e.task.run();
+    }
+    now = end;
+  }
+
+  Duration passed() {
+    return Duration.between(START, now);
+  }
+
+  void note(String text) {
+    log.add("%8.3f %s".formatted(passed().toMillis() / 1000.0, text));
+  }
+
+  void breaks(String rule, String what) {
+    broken.add("%s at %.3f: %s".formatted(rule, passed().toMillis() / 1000.0, what));
+    note("RULE " + rule + " " + what);
+  }
+
+  // ---- Network ----
+
+  private static String pair(String a, String b) {
+    return a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
+  }
+
+  private boolean matches(Set<String> set, String a, String b) {
+    return set.contains(pair(a, b))
+        || set.contains(pair(a, "all"))
+        || set.contains(pair(b, "all"))
+        || (kind(b).equals("worker") && set.contains(pair(a, "workers")))
+        || (kind(a).equals("worker") && set.contains(pair(b, "workers")));
+  }
+
+  private String kind(String name) {
+    return workers.containsKey(name) ? "worker" : "other";
+  }
+
+  /** Cuts the network between two names, or a name and {@code all} or {@code workers}. */
+  void cut(String a, String b, boolean hold) {
+    cuts.add(pair(a, b));
+    if (hold) {
+      holds.add(pair(a, b));
+    }
+  }
+
+  /** Heals a cut; what was held is delivered now, in order. */
+  void heal(String a, String b) {
+    cuts.remove(pair(a, b));
+    holds.remove(pair(a, b));
+    for (String key : List.copyOf(held.keySet())) {
+      String[] ends = key.split("\\|");
+      if (!matches(cuts, ends[0], ends[1])) {
+        held.remove(key).forEach(r -> after(latency(), r));
+      }
+    }
+  }
+
+  private Duration latency() {
+    return Duration.ofMillis(1 + random.nextInt(4));
+  }
+
+  /** Carries a message; it may be lost or held when there is a cut. */
+  void carry(String from, String to, Runnable deliver) {
+    if (matches(cuts, from, to)) {
+      if (matches(holds, from, to)) {
+        held.computeIfAbsent(pair(from, to), k -> new ArrayList<>()).add(deliver);
+      }
+      return;
+    }
+    after(latency(), deliver);
+  }
+
+  /** A request and its answer, both over the network. */
+  void request(
+      String from,
+      String to,
+      String method,
+      String path,
+      JsonNode body,
+      Duration timeout,
+      Consumer<Reply> answer) {
+    boolean[] answered = {false};
+    Consumer<Reply> once =
+        r -> {
+          if (!answered[0]) {
+            answered[0] = true;
+            answer.accept(r);
+          }
+        };
+    after(timeout, () -> once.accept(Reply.NONE));
+    JsonNode copy = body.deepCopy();
+    carry(
+        from,
+        to,
+        () ->
+            serve(
+                from, to, method, path, copy, reply -> carry(to, from, () -> once.accept(reply))));
+  }
+
+  private void serve(
+      String from, String to, String method, String path, JsonNode body, Consumer<Reply> answer) {
+    if (to.equals("state")) {
+      state.serve(from, method, path, body, answer);
+    } else if (to.equals("cloud")) {
+      cloud.serve(method, path, body, answer);
+    } else if (nodes.containsKey(to)) {
+      nodes.get(to).serve(method, path, body, answer);
+    } else if (workers.containsKey(to)) {
+      workers.get(to).serve(method, path, body, answer);
+    }
+  }
+
+  // ---- Settings ----
+
+  Settings settings(String host) {
+    Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
+    for (String n : nodes.keySet()) {
+      if (!n.equals(host)) {
+        peers.put(n, InetSocketAddress.createUnresolved(n, 1));
+      }
+    }
+    return new Settings(
+        host,
+        "a",
+        InetSocketAddress.createUnresolved(host, 1),
+        InetSocketAddress.createUnresolved(host, 2),
+        peers,
+        "cloud",
+        "state",
+        teams,
+        objectives,
+        new Settings.Workers(report, lease, cancel),
+        new Settings.State(100, 60, 8192, 24),
+        new Settings.Cloud(4, cloud.lag),
+        1000);
+  }
+
+  // ---- Rules about tasks ----
+
+  /** A task's run on a machine, as the rules count it. */
+  record Presence(SimWorker worker, TaskId task, long attempt) {}
+
+  final List<Presence> present = new ArrayList<>();
+
+  /** How often tasks of a job were started. */
+  final Map<String, Integer> starts = new HashMap<>();
+
+  void taskStarts(SimWorker w, TaskId task, long attempt) {
+    JobSpec spec = submitted.get(task.job());
+    for (Presence p : present) {
+      if (p.task.equals(task)) {
+        breaks("ran_twice", task + " on " + w.name + " while on " + p.worker.name);
+      }
+    }
+    if (!spec.allows(w.type, w.zone, w.spot)) {
+      breaks("wrong_place", task + " on " + w.name);
+    }
+    int inZone = 0;
+    double cpus = spec.cpus();
+    for (Presence p : present) {
+      JobSpec other = submitted.get(p.task.job());
+      if (p.task.job().equals(task.job())) {
+        if (p.worker.zone.equals(w.zone)) {
+          inZone++;
+        } else if (spec.oneZone()) {
+          breaks("wrong_place", task + " in " + w.zone + ", mates in " + p.worker.zone);
+        }
+      }
+      if (other.team().equals(spec.team())) {
+        cpus += other.cpus();
+      }
+    }
+    if (spec.spread() && inZone + 1 > (spec.tasks() + 1) / 2) {
+      breaks("wrong_place", task + " crowds zone " + w.zone);
+    }
+    for (Settings.Team t : teams) {
+      if (t.name().equals(spec.team()) && t.cpusMax() > 0 && cpus > t.cpusMax() + 1e-6) {
+        breaks("quota", t.name() + " uses " + cpus);
+      }
+    }
+    SimUser u = users.get(task.job());
+    if (u != null && u.cancelledAt != null && now.isAfter(u.cancelledAt.plus(cancel))) {
+      breaks("ran_cancelled", task + " starts");
+    }
+    starts.merge(task.job(), 1, Integer::sum);
+    present.add(new Presence(w, task, attempt));
+  }
+
+  void taskGone(SimWorker w, TaskId task, long attempt) {
+    present.removeIf(p -> p.worker == w && p.task.equals(task) && p.attempt == attempt);
+  }
+
+  /** Called every second. */
+  void audit() {
+    for (Presence p : present) {
+      SimUser u = users.get(p.task.job());
+      if (u != null && u.cancelledAt != null && now.isAfter(u.cancelledAt.plus(cancel))) {
+        breaks("ran_cancelled", p.task + " on " + p.worker.name);
+      }
+    }
+    after(Duration.ofSeconds(1), this::audit);
+  }
+
+  static ObjectNode map() {
+    return MessagePack.map();
+  }
+
+  Optional<SimNode> randomHealthyNode() {
+    List<SimNode> up = nodes.values().stream().filter(SimNode::isUp).toList();
+    return up.isEmpty() ? Optional.empty() : Optional.of(up.get(random.nextInt(up.size())));
+  }
+}
