--- a/src/main/java/io/pearscale/transport/HttpServer.java
+++ b/src/main/java/io/pearscale/transport/HttpServer.java
@@ -79,32 +79,39 @@
   }
 
   private static void receive(HttpServerExchange exchange, Handler handler) {
+    // A body that comes in several pieces is handed over inside a call of Undertow's, which ends
+    // the exchange with an empty 200 when it returns: each callback must leave that call first.
     exchange
         .getRequestReceiver()
         .receiveFullBytes(
-            (ex, bytes) -> {
-              Optional<JsonNode> body =
-                  bytes.length == 0 ? Optional.empty() : MessagePack.decode(bytes);
-              try {
-                handler.handle(
-                    ex.getRequestMethod().toString(),
-                    ex.getRequestPath(),
-                    body,
-                    response -> respond(ex, response));
-              } catch (RuntimeException e) {
-                // A user must never see a trace, whatever the request did to us.
-                LOG.error("event=request_failed path={}", ex.getRequestPath(), e);
-                respond(ex, Response.later(Duration.ofSeconds(1), "internal"));
-              }
-            },
+            (ex, bytes) ->
+                ex.dispatch(SameThreadExecutor.INSTANCE, () -> handle(ex, bytes, handler)),
             (ex, e) ->
-                respond(
-                    ex,
-                    new Response(
-                        400,
-                        MessagePack.map().put("error", "body unreadable or over 64 KiB"),
-                        Optional.empty(),
-                        true)));
+                ex.dispatch(
+                    SameThreadExecutor.INSTANCE,
+                    () ->
+                        respond(
+                            ex,
+                            new Response(
+                                400,
+                                MessagePack.map().put("error", "body unreadable or over 64 KiB"),
+                                Optional.empty(),
+                                true))));
+  }
+
+  private static void handle(HttpServerExchange exchange, byte[] bytes, Handler handler) {
+    Optional<JsonNode> body = bytes.length == 0 ? Optional.empty() : MessagePack.decode(bytes);
+    try {
+      handler.handle(
+          exchange.getRequestMethod().toString(),
+          exchange.getRequestPath(),
+          body,
+          response -> respond(exchange, response));
+    } catch (RuntimeException e) {
+      // A user must never see a trace, whatever the request did to us.
+      LOG.error("event=request_failed path={}", exchange.getRequestPath(), e);
+      respond(exchange, Response.later(Duration.ofSeconds(1), "internal"));
+    }
   }
 
   private static void respond(HttpServerExchange exchange, Response response) {
--- /dev/null
+++ b/src/test/java/io/pearscale/cli/LoopbackTest.java
@@ -0,0 +1,208 @@
+package io.pearscale.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.bookkeeping.Tuning;
+import io.pearscale.transport.MessagePack;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A controller on real sockets whose state service and cloud refuse every connection. */
+class LoopbackTest {
+  @TempDir static Path folder;
+  private static Server server;
+  private static int client;
+  private static int back;
+  private final HttpClient http =
+      HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+
+  private static int freePort() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
+    }
+  }
+
+  @BeforeAll
+  static void start() throws Exception {
+    client = freePort();
+    back = freePort();
+    Path file = folder.resolve("s.toml");
+    Files.writeString(file, SettingsTest.settings(client, back, freePort(), freePort()));
+    server = new Server(SettingsReader.read(file), Tuning.defaults());
+    server.start();
+  }
+
+  @AfterAll
+  static void stop() {
+    server.stop();
+  }
+
+  private HttpResponse<byte[]> send(String method, String path, byte[] body) throws Exception {
+    return http.send(
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + client + path))
+            .timeout(Duration.ofSeconds(3))
+            .method(method, HttpRequest.BodyPublishers.ofByteArray(body))
+            .build(),
+        HttpResponse.BodyHandlers.ofByteArray());
+  }
+
+  private static ObjectNode job() {
+    return MessagePack.map()
+        .put("uid", "wk-000001")
+        .put("lineup", "c")
+        .put("crew", "t")
+        .put("shape", "batch")
+        .put("rank", "normal")
+        .put("pieces", 3)
+        .put("vcpus", 1.0)
+        .put("accelerators", 0.0)
+        .put("memoryGb", 1.0)
+        .put("bundle", "i")
+        .put("imageGb", 1.0)
+        .put("oneZone", false)
+        .put("spread", false)
+        .put("windfall", true)
+        .put("guessS", 10.0)
+        .put("bookmarkS", 0.0)
+        .put("stashS", 0.0);
+  }
+
+  private int submit(JsonNode body) throws Exception {
+    return send("POST", "/work", MessagePack.encode(body)).statusCode();
+  }
+
+  @Test
+  void malformedSubmissionsAreAnswered400() throws Exception {
+    assertEquals(400, send("POST", "/work", new byte[0]).statusCode());
+    assertEquals(
+        400, send("POST", "/work", "garbage".getBytes(StandardCharsets.UTF_8)).statusCode());
+    assertEquals(400, submit(MessagePack.map()));
+    assertEquals(400, submit(job().put("pieces", "three")));
+    assertEquals(400, submit(job().put("pieces", 0)));
+    assertEquals(400, submit(job().put("pieces", 100_001)));
+    assertEquals(400, submit(job().put("vcpus", -1.0)));
+    assertEquals(400, submit(job().put("vcpus", Double.NaN)));
+    assertEquals(400, submit(job().put("shape", "heap")));
+    assertEquals(400, submit(job().put("rank", "urgent")));
+    assertEquals(400, submit(job().put("uid", "job-1")));
+    assertEquals(400, submit(job().put("uid", "wk-1/../x")));
+    assertEquals(400, submit(job().put("lineup", "x".repeat(3000))));
+    ObjectNode missing = job();
+    missing.remove("guessS");
+    assertEquals(400, submit(missing));
+  }
+
+  @Test
+  void aBodyInPiecesIsNotAnsweredBeforeItIsDecided() throws Exception {
+    byte[] body = MessagePack.encode(job());
+    try (Socket s = new Socket(InetAddress.getLoopbackAddress(), client)) {
+      s.setSoTimeout(3000);
+      String head = "POST /work HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length + "\r\n\r\n";
+      s.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      s.getOutputStream().flush();
+      Thread.sleep(60);
+      s.getOutputStream().write(body, 0, 20);
+      s.getOutputStream().flush();
+      Thread.sleep(60);
+      s.getOutputStream().write(body, 20, body.length - 20);
+      s.getOutputStream().flush();
+      byte[] start = s.getInputStream().readNBytes(12);
+      assertEquals("HTTP/1.1 503", new String(start, StandardCharsets.US_ASCII));
+    }
+  }
+
+  @Test
+  void anOversizedBodyIsAnswered400() throws Exception {
+    int status;
+    try {
+      status = send("POST", "/work", new byte[70_000]).statusCode();
+    } catch (IOException e) {
+      // The connection may be closed while the rest is still being sent; nothing hangs.
+      return;
+    }
+    assertEquals(400, status);
+  }
+
+  @Test
+  void whatCannotBeDecidedIsAnswered503AtOnceWithRetryAfter() throws Exception {
+    for (String[] request :
+        new String[][] {
+          {"POST", "/work"}, {"GET", "/work/wk-000001"}, {"POST", "/work/wk-000001/cancel"}
+        }) {
+      long began = System.nanoTime();
+      HttpResponse<byte[]> r =
+          send(
+              request[0],
+              request[1],
+              request[1].equals("/work") ? MessagePack.encode(job()) : new byte[0]);
+      assertEquals(503, r.statusCode(), request[1]);
+      assertTrue(r.headers().firstValue("Retry-After").isPresent(), request[1]);
+      assertTrue(System.nanoTime() - began < 1_500_000_000L, "answered late");
+    }
+  }
+
+  @Test
+  void aControllerThatHasNotLoadedIsNotReady() throws Exception {
+    assertEquals(503, send("GET", "/up", new byte[0]).statusCode());
+  }
+
+  @Test
+  void unknownPagesAndIdsAreAnswered404() throws Exception {
+    assertEquals(404, send("GET", "/other", new byte[0]).statusCode());
+    assertEquals(404, send("GET", "/work/nonsense", new byte[0]).statusCode());
+    assertEquals(404, send("DELETE", "/work", new byte[0]).statusCode());
+  }
+
+  @Test
+  void reportsWithoutALeaderAreNotAnswered200() throws Exception {
+    assertEquals(400, send("POST", "/checkin", new byte[] {1, 2}).statusCode());
+    ObjectNode report =
+        MessagePack.map()
+            .put("hive", "m-000001")
+            .put("address", "127.0.0.1:1")
+            .put("breed", "g")
+            .put("yard", "a")
+            .put("windfall", false)
+            .put("stint", 1)
+            .put("tally", 1)
+            .put("baton", 0);
+    assertEquals(503, send("POST", "/checkin", MessagePack.encode(report)).statusCode());
+  }
+
+  @Test
+  void aForeignPeerIsCutOff() throws Exception {
+    try (Socket s = new Socket(InetAddress.getLoopbackAddress(), back)) {
+      s.setSoTimeout(3000);
+      byte[] hello = "pearscale/9 warm-1".getBytes(StandardCharsets.UTF_8);
+      s.getOutputStream().write(new byte[] {0, 0, 0, (byte) hello.length});
+      s.getOutputStream().write(hello);
+      s.getOutputStream().flush();
+      assertEquals(-1, s.getInputStream().read(), "a peer of another version");
+    }
+    try (Socket s = new Socket(InetAddress.getLoopbackAddress(), back)) {
+      s.setSoTimeout(3000);
+      s.getOutputStream().write(new byte[] {0x7f, 0, 0, 0});
+      s.getOutputStream().flush();
+      assertEquals(-1, s.getInputStream().read(), "a frame of two gigabytes");
+    }
+    assertFalse(send("GET", "/up", new byte[0]).statusCode() == 500);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/cli/SettingsTest.java
@@ -0,0 +1,121 @@
+package io.pearscale.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pearscale.bookkeeping.Tuning;
+import io.pearscale.protocol.Settings;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Settings files, good and bad. */
+class SettingsTest {
+  @TempDir Path folder;
+
+  static String settings(int client, int back, int peer, int services) {
+    return """
+        host_name = "hive-0"
+        domain = "a"
+        client_listen = "127.0.0.1:%d"
+        back = "127.0.0.1:%d"
+        new_field = 7
+        [[peers]]
+        host_name = "hive-1"
+        domain = "b"
+        address = "127.0.0.1:%d"
+        [endpoints]
+        cloud = "127.0.0.1:%d"
+        state = "127.0.0.1:%d"
+        [[facts.teams]]
+        name = "t"
+        cpus = 0.0
+        cpus_max = 12.0
+        gpus = 0.0
+        gpus_max = 0.0
+        [[facts.objectives]]
+        kind = "wait"
+        class = "c"
+        within_s = 1.5
+        [facts.workers]
+        report_s = 3.0
+        lease_s = 20.0
+        cancel_s = 40.0
+        [facts.state]
+        rps = 100.0
+        write_rps = 50.0
+        value_kb = 2.0
+        txn_ops = 40
+        [facts.cloud]
+        rps = 2.0
+        list_lag_s = 10.0
+        [facts.limits]
+        fd_limit = 1000
+        """
+        .formatted(client, back, peer, services, services);
+  }
+
+  private Path write(String text) throws IOException {
+    Path file = folder.resolve("settings.toml");
+    Files.writeString(file, text);
+    return file;
+  }
+
+  private String refusal(String from, String to) throws IOException {
+    Path file = write(settings(1, 2, 3, 4).replace(from, to));
+    return assertThrows(SettingsError.class, () -> SettingsReader.read(file)).getMessage();
+  }
+
+  @Test
+  void readsWhatItKnowsAndPassesOverTheRest() throws Exception {
+    Settings s = SettingsReader.read(write(settings(1, 2, 3, 4)));
+    assertEquals("hive-0", s.host());
+    assertEquals(12.0, s.teams().get(0).cpusMax());
+    assertEquals(Duration.ofMillis(1500), s.objectives().get(0).within());
+    assertEquals(2048, s.stateLimits().valueBytes());
+    assertEquals(Duration.ofSeconds(14), s.hold());
+    assertTrue(s.peers().containsKey("hive-1"));
+  }
+
+  @Test
+  void refusalsNameFileKeyValueAndExpectation() throws Exception {
+    assertTrue(refusal("lease_s = 20.0", "").contains("facts.workers.lease_s: found nothing"));
+    assertTrue(refusal("lease_s = 20.0", "lease_s = -1").contains("found -1, expected a number"));
+    assertTrue(refusal("127.0.0.1:1\"", "somewhere:80\"").contains("client_listen"));
+    assertTrue(refusal("host_name = \"hive-0\"", "host_name = 3").contains("expected a text"));
+    assertTrue(refusal("[facts.state]", "[facts.other]").contains("facts.state"));
+    assertTrue(refusal("domain", "= =").contains("expected TOML"));
+    Path none = folder.resolve("none.toml");
+    assertThrows(SettingsError.class, () -> SettingsReader.read(none));
+  }
+
+  @Test
+  void readsOperatorsSettings() throws Exception {
+    Path file = folder.resolve("tuning.sexp");
+    Files.writeString(
+        file, "; fewer\n(sample 4) (spare-share 0.5)\n(idle-release-s 90)\n(newer 1)");
+    Tuning t = TuningReader.read(Optional.of(file));
+    assertEquals(4, t.sample());
+    assertEquals(0.5, t.spareShare());
+    assertEquals(Duration.ofSeconds(90), t.idleRelease());
+    assertEquals(Tuning.defaults().imageWeight(), t.imageWeight());
+    assertEquals(Tuning.defaults(), TuningReader.read(Optional.empty()));
+  }
+
+  @Test
+  void refusesBadOperatorsSettings() throws Exception {
+    Path file = folder.resolve("tuning.sexp");
+    for (String bad :
+        new String[] {
+          "(sample 0)", "(sample many)", "(sample", "sample 8", "(sample 8 9)", "((a 1))"
+        }) {
+      Files.writeString(file, bad);
+      assertThrows(SettingsError.class, () -> TuningReader.read(Optional.of(file)), bad);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/protocol/PeerMessageTest.java
@@ -0,0 +1,69 @@
+package io.pearscale.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.pearscale.protocol.PeerMessage.Counts;
+import io.pearscale.protocol.PeerMessage.ForwardedAnswer;
+import io.pearscale.protocol.PeerMessage.ForwardedReport;
+import io.pearscale.protocol.PeerMessage.Heartbeat;
+import io.pearscale.protocol.PeerMessage.JobCount;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Records between controllers come out as they went in, or not at all. */
+class PeerMessageTest {
+  private static final TaskId TASK = new TaskId("wk-7", 3);
+
+  private static final List<PeerMessage> ALL =
+      List.of(
+          new Heartbeat(9, "hive-2", true),
+          new ForwardedReport(
+              4,
+              new Report(
+                  "m-1",
+                  "10.0.0.1:9",
+                  "g",
+                  "a",
+                  true,
+                  2,
+                  88,
+                  41,
+                  Optional.of(Duration.ofSeconds(12)),
+                  List.of(
+                      new Report.TaskReport(TASK, 5, Report.Stage.ENDED, "done"),
+                      new Report.TaskReport(TASK, 6, Report.Stage.FETCHING, "")))),
+          new ForwardedAnswer(
+              4,
+              new ReportAnswer(
+                  200,
+                  77,
+                  List.of(
+                      Order.run(TASK, 8),
+                      Order.kill(TASK, 7, Duration.ofSeconds(4)),
+                      Order.clear(TASK, 6)))),
+          new Counts(List.of(new JobCount("wk-7", 1, 2))));
+
+  @Test
+  void recordsComeOutAsTheyWentIn() throws Malformed {
+    for (PeerMessage m : ALL) {
+      assertEquals(m, PeerMessage.decode(PeerMessage.encode(m)));
+    }
+  }
+
+  @Test
+  void recordsCutShortOrWithMoreAreMalformed() {
+    for (PeerMessage m : ALL) {
+      byte[] whole = PeerMessage.encode(m);
+      for (int n = 0; n < whole.length; n++) {
+        byte[] part = Arrays.copyOf(whole, n);
+        assertThrows(Malformed.class, () -> PeerMessage.decode(part), m + " cut to " + n);
+      }
+      byte[] longer = Arrays.copyOf(whole, whole.length + 1);
+      assertThrows(Malformed.class, () -> PeerMessage.decode(longer));
+    }
+  }
+}
