--- a/src/main/java/io/pearscale/bookkeeping/ApiActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/ApiActor.java
@@ -289,7 +289,11 @@
   }
 
   private void found(Found m) {
-    if (m.entry.isEmpty()) {
+    Past told = past.get(m.id);
+    if (told != null) {
+      // It ended while the question was under way, and this controller has said so.
+      m.then.accept(new Over(told));
+    } else if (m.entry.isEmpty()) {
       m.then.accept(new Unknown());
     } else if (m.entry.get().isPresent()) {
       m.then.accept(new Live(m.entry.get().get()));
