Let passes, ticks and renting look only at what changed

Every report planned a pass over all machines and jobs, each class shuffled all machines, the check for machines to spare was quadratic in them, and what was asked of the cloud did not count as coming. Change: a queue of waiting jobs, kept rooms per machine, one shuffle a pass, victims among the first 24 that will do, like tasks asked for as one, machines looked after in slices, renting grows with the fleet.

--- /dev/null
+++ b/src/main/java/io/pearscale/bookkeeping/Headroom.java
@@ -0,0 +1,73 @@
+package io.pearscale.bookkeeping;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The room that is kept in each zone for classes whose tasks are expected to start at once. Counted
+ * once over all machines; giving one up only subtracts what it has.
+ */
+final class Headroom {
+  /** How many tasks of a class, like those of the sample job, are to have room in each zone. */
+  record Want(Job sample, int each) {}
+
+  private record Part(Job sample, String zone) {}
+
+  private final Collection<Want> wants;
+  private final Map<Part, Integer> lacking = new LinkedHashMap<>();
+
+  Headroom(Collection<Want> wants, Collection<String> zones, Collection<Machine> usable) {
+    this.wants = wants;
+    for (Want w : wants) {
+      Map<String, Integer> free = new HashMap<>();
+      for (Machine m : usable) {
+        free.merge(m.zone, places(w.sample, m), Integer::sum);
+      }
+      for (String zone : zones) {
+        lacking.put(new Part(w.sample, zone), w.each - free.getOrDefault(zone, 0));
+      }
+    }
+  }
+
+  private static int places(Job sample, Machine m) {
+    return sample.spec.allows(m.type, m.zone, m.spot) ? m.roomWithEviction(sample) : 0;
+  }
+
+  /** What has to be rented so that each zone has its room. */
+  List<Renter.Demand> demands() {
+    List<Renter.Demand> demands = new ArrayList<>();
+    lacking.forEach(
+        (part, n) -> {
+          if (n > 0) {
+            demands.add(new Renter.Demand(part.sample, n, Optional.of(part.zone)));
+          }
+        });
+    return demands;
+  }
+
+  /**
+   * Whether no zone would lack more without the machine. What no machine here can give, in a zone
+   * that is full, must not keep all others.
+   */
+  boolean canLose(Machine m) {
+    for (Want w : wants) {
+      int lacks = lacking.getOrDefault(new Part(w.sample, m.zone), 0);
+      if (Math.max(0, lacks + places(w.sample, m)) > Math.max(0, lacks)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** The machine is to be given back. */
+  void lose(Machine m) {
+    for (Want w : wants) {
+      lacking.merge(new Part(w.sample, m.zone), places(w.sample, m), Integer::sum);
+    }
+  }
+}
--- a/src/main/java/io/pearscale/bookkeeping/Job.java
+++ b/src/main/java/io/pearscale/bookkeeping/Job.java
@@ -32,6 +32,7 @@
   final BitSet unknown = new BitSet();
 
   final Map<Integer, Placement> placed = new HashMap<>();
+  private final Map<String, Integer> byZone = new HashMap<>();
   final Set<String> failedOn = new HashSet<>();
   Instant notBefore = Instant.MIN;
   boolean succeeded;
@@ -42,6 +43,27 @@
     this.submitted = submitted;
   }
 
+  void add(Placement p) {
+    placed.put(p.task.index(), p);
+    byZone.merge(p.machine.zone, 1, Integer::sum);
+  }
+
+  void remove(Placement p) {
+    if (placed.remove(p.task.index(), p)) {
+      byZone.merge(p.machine.zone, -1, Integer::sum);
+    }
+  }
+
+  /** Forgets all that only a leader knows. */
+  void forget() {
+    placed.clear();
+    byZone.clear();
+    unknown.clear();
+    opened.clear();
+    done.clear();
+    durableDone.clear();
+  }
+
   int pending() {
     return spec.tasks() - done.cardinality() - placed.size() - unknown.cardinality();
   }
@@ -71,13 +93,12 @@
   }
 
   int inZone(String zone) {
-    int n = unknown.cardinality();
-    for (Placement p : placed.values()) {
-      if (p.machine.zone.equals(zone)) {
-        n++;
-      }
-    }
-    return n;
+    return unknown.cardinality() + byZone.getOrDefault(zone, 0);
+  }
+
+  /** Whether no task is placed outside of the zone. */
+  boolean onlyIn(String zone) {
+    return byZone.getOrDefault(zone, 0) == placed.size();
   }
 
   JsonNode progress(int chunk) {
--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -2,6 +2,7 @@
 
 import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Order;
+import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.TaskId;
 import java.time.Instant;
 import java.util.HashMap;
@@ -83,6 +84,7 @@
   Instant listedSince = Instant.MIN;
 
   final Map<TaskId, Placement> placements = new LinkedHashMap<>();
+  private Room[] rooms;
   final Map<Ended, Boolean> ended = new HashMap<>();
   final Map<Ended, Instant> foreign = new HashMap<>();
 
@@ -117,15 +119,44 @@
     }
   }
 
-  /** What is left, when everything decided has come to pass. */
+  void add(Placement p) {
+    placements.put(p.task, p);
+    touch();
+  }
+
+  void remove(Placement p) {
+    placements.remove(p.task, p);
+    touch();
+  }
+
+  /** To be called when what is placed here, or is to stay here, has changed. */
+  void touch() {
+    rooms = null;
+  }
+
+  /** What is left, when everything decided has come to pass; the caller may change it. */
   Room room() {
-    Room r = new Room(type.cpus(), type.gpus(), type.memoryGb());
-    for (Placement p : placements.values()) {
-      if (!p.doomed) {
-        r.take(p.job);
+    return roomAbove(Priority.IDLE).copy();
+  }
+
+  /**
+   * What would be left if all below the priority were evicted. Kept from one question to the next,
+   * since every pass asks every machine and most have not changed. Not to be changed.
+   */
+  Room roomAbove(Priority priority) {
+    if (rooms == null) {
+      rooms = new Room[Priority.values().length];
+      for (Priority floor : Priority.values()) {
+        Room r = new Room(type.cpus(), type.gpus(), type.memoryGb());
+        for (Placement p : placements.values()) {
+          if (!p.doomed && p.job.spec.priority().compareTo(floor) >= 0) {
+            r.take(p.job);
+          }
+        }
+        rooms[floor.ordinal()] = r;
       }
     }
-    return r;
+    return rooms[priority.ordinal()];
   }
 
   /** What is left now, counting all that may be on the machine. */
@@ -141,13 +172,7 @@
 
   /** How many more tasks like these the machine could take, evicting lower ones if need be. */
   int roomWithEviction(Job like) {
-    Room r = room();
-    for (Placement p : placements.values()) {
-      if (!p.doomed && p.job.spec.priority().compareTo(like.spec.priority()) < 0) {
-        r.give(p.job);
-      }
-    }
-    return r.count(like);
+    return roomAbove(like.spec.priority()).count(like);
   }
 
   boolean inDoubt() {
@@ -156,7 +181,7 @@
 
   /** Room in all resources. */
   static final class Room {
-    private static final double SLACK = 1e-6;
+    static final double SLACK = 1e-6;
     double cpus;
     double gpus;
     double memoryGb;
@@ -167,6 +192,10 @@
       this.memoryGb = memoryGb;
     }
 
+    Room copy() {
+      return new Room(cpus, gpus, memoryGb);
+    }
+
     void take(Job j) {
       cpus -= j.spec.cpus();
       gpus -= j.spec.gpus();
--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -12,9 +12,11 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -22,46 +24,75 @@
  * score among the first few that fit, and if none fits the fewest, lowest victims.
  */
 final class Placer {
-  /** Tasks that are alike for feasibility and score. */
-  record TaskClass(
-      String team,
+  /** What decides where a task may go and whom it may evict. */
+  record Shape(
       Priority priority,
-      boolean service,
       double cpus,
       double gpus,
       double memoryGb,
-      String image,
       Optional<List<String>> types,
       Optional<String> zone,
       boolean spot) {
+    static Shape of(JobSpec s) {
+      return new Shape(
+          s.priority(), s.cpus(), s.gpus(), s.memoryGb(), s.types(), s.zone(), s.spot());
+    }
+  }
+
+  /** Tasks that are alike for feasibility and score. */
+  record TaskClass(Shape shape, String team, boolean service, String image) {
     static TaskClass of(JobSpec s) {
-      return new TaskClass(
-          s.team(),
-          s.priority(),
-          s.service(),
-          s.cpus(),
-          s.gpus(),
-          s.memoryGb(),
-          s.image(),
-          s.types(),
-          s.zone(),
-          s.spot());
+      return new TaskClass(Shape.of(s), s.team(), s.service(), s.image());
     }
   }
 
+  /** Tasks that find victims in the same places; the zones are those that a spread leaves open. */
+  private record Hunt(Shape shape, String team, boolean service, List<String> zones) {}
+
   /** Where a task goes, and who has to leave for it. */
   record Choice(Machine machine, List<Placement> victims) {}
 
+  /**
+   * Machines in an order that is shuffled once a pass; each visit begins at a random place of its
+   * own. Machines that can be spared are met last, so that they run empty.
+   */
+  private final class Order {
+    private final List<Machine> kept = new ArrayList<>();
+    private final List<Machine> spare = new ArrayList<>();
+
+    Order(Collection<Machine> machines) {
+      for (Machine m : machines) {
+        (m.spareSince.equals(Instant.MAX) ? kept : spare).add(m);
+      }
+      shuffle(kept);
+      shuffle(spare);
+    }
+
+    private void shuffle(List<Machine> list) {
+      for (int i = list.size() - 1; i > 0; i--) {
+        Collections.swap(list, i, random.nextInt(i + 1));
+      }
+    }
+
+    int size() {
+      return kept.size() + spare.size();
+    }
+
+    int start() {
+      return kept.isEmpty() ? 0 : random.nextInt(kept.size());
+    }
+
+    Machine get(int start, int i) {
+      return i < kept.size() ? kept.get((start + i) % kept.size()) : spare.get(i - kept.size());
+    }
+  }
+
   /** The machines that were met for a class in this pass. */
-  private static final class Visit {
-    final List<Machine> order;
+  private final class Visit {
+    final int start = open.start();
     int next;
     final List<Machine> found = new ArrayList<>();
     boolean noVictims;
-
-    Visit(List<Machine> order) {
-      this.order = order;
-    }
   }
 
   /** What a team has in use. */
@@ -78,30 +109,50 @@
   private final Map<String, Team> teams;
   private final Map<Machine, Room> rooms = new HashMap<>();
   private final Map<TaskClass, Visit> visits = new HashMap<>();
-  private final Map<TaskClass, Map<String, Integer>> zoneRoom = new HashMap<>();
+  private final Map<Shape, Map<String, Integer>> zoneRoom = new HashMap<>();
+  private final Set<Hunt> barren = new HashSet<>();
   private final Map<String, Use> uses;
   private final List<Machine> machines;
+  private final Order open;
+  private Optional<Order> all = Optional.empty();
   private final Instant now;
 
   /**
    * Prepares a pass.
    *
    * @param machines those that may take tasks now
+   * @param waiting the jobs that the pass is for: machines without room for the smallest task of
+   *     any of them are met only in search of victims
    * @param uses what each team may have on machines, all doubt counted as use
    */
   Placer(
       Tuning tuning,
       RandomGenerator random,
       Map<String, Team> teams,
-      Collection<Machine> machines,
+      List<Machine> machines,
+      Collection<Job> waiting,
       Map<String, Use> uses,
       Instant now) {
     this.now = now;
     this.tuning = tuning;
     this.random = random;
     this.teams = teams;
-    this.machines = new ArrayList<>(machines);
+    this.machines = machines;
     this.uses = uses;
+    double cpus = Double.MAX_VALUE;
+    double memoryGb = Double.MAX_VALUE;
+    for (Job j : waiting) {
+      cpus = Math.min(cpus, j.spec.cpus());
+      memoryGb = Math.min(memoryGb, j.spec.memoryGb());
+    }
+    List<Machine> roomy = new ArrayList<>();
+    for (Machine m : machines) {
+      Room r = m.roomAbove(Priority.IDLE);
+      if (r.cpus + Room.SLACK >= cpus && r.memoryGb + Room.SLACK >= memoryGb) {
+        roomy.add(m);
+      }
+    }
+    this.open = new Order(roomy);
   }
 
   Room room(Machine m) {
@@ -147,7 +198,7 @@
     if (leftWithinLimit(teams, uses, job.spec) < 1) {
       return Optional.empty();
     }
-    Visit v = visits.computeIfAbsent(TaskClass.of(job.spec), k -> new Visit(shuffled()));
+    Visit v = visits.computeIfAbsent(TaskClass.of(job.spec), k -> new Visit());
     Machine best = null;
     double bestScore = Double.MAX_VALUE;
     v.found.removeIf(m -> !room(m).fits(job));
@@ -162,8 +213,8 @@
         }
       }
     }
-    while (usable < tuning.sample() && v.next < v.order.size()) {
-      Machine m = v.order.get(v.next++);
+    while (usable < tuning.sample() && v.next < open.size()) {
+      Machine m = open.get(v.start, v.next++);
       if (!job.spec.allows(m.type, m.zone, m.spot) || !room(m).fits(job)) {
         continue;
       }
@@ -184,6 +235,10 @@
     if (v.noVictims || !mayStopOthers) {
       return Optional.empty();
     }
+    Hunt hunt = new Hunt(Shape.of(job.spec), job.spec.team(), job.spec.service(), zonesLeft(job));
+    if (barren.contains(hunt)) {
+      return Optional.empty();
+    }
     Optional<Choice> byEviction = evict(job);
     if (byEviction.isEmpty()) {
       byEviction = makeWay(job);
@@ -191,6 +246,9 @@
     if (byEviction.isEmpty()) {
       // Like tasks are decided as a class: what found nobody to evict need not look again.
       v.noVictims = !job.spec.spread() && !job.spec.oneZone();
+      if (!job.spec.oneZone()) {
+        barren.add(hunt);
+      }
     }
     return byEviction;
   }
@@ -202,14 +260,23 @@
     u.gpus += job.spec.gpus();
   }
 
-  /** Random order; machines that can be spared are met last, so that they run empty. */
-  private List<Machine> shuffled() {
-    List<Machine> order = new ArrayList<>(machines);
-    for (int i = order.size() - 1; i > 0; i--) {
-      Collections.swap(order, i, random.nextInt(i + 1));
+  /** The order for those who look for victims, on machines with room or without. */
+  private Order all() {
+    if (all.isEmpty()) {
+      all = Optional.of(new Order(machines));
     }
-    order.sort(Comparator.comparing(m -> !m.spareSince.equals(Instant.MAX)));
-    return order;
+    return all.get();
+  }
+
+  /** The zones in which a job that must spread may have another task. */
+  private List<String> zonesLeft(Job job) {
+    if (!job.spec.spread()) {
+      return List.of();
+    }
+    return roomByZone(job).keySet().stream()
+        .filter(z -> job.inZone(z) < job.spec.perZone())
+        .sorted()
+        .toList();
   }
 
   /** The rules that depend on where the job's other tasks are, all doubt counted against it. */
@@ -221,11 +288,7 @@
       if (!job.unknown.isEmpty()) {
         return false;
       }
-      for (Placement p : job.placed.values()) {
-        if (!p.machine.zone.equals(m.zone)) {
-          return false;
-        }
-      }
+      return job.onlyIn(m.zone);
     }
     return true;
   }
@@ -239,15 +302,12 @@
       stranded += (r.gpus - s.gpus()) / m.type.gpus();
     }
     int onMachine = 0;
-    int inZone = 0;
-    for (Placement p : job.placed.values()) {
-      if (p.machine == m) {
+    for (Placement p : m.placements.values()) {
+      if (p.job == job) {
         onMachine++;
       }
-      if (p.machine.zone.equals(m.zone)) {
-        inZone++;
-      }
     }
+    int inZone = job.inZone(m.zone);
     return tuning.strandedWeight() * stranded
         + tuning.sameMachineWeight() * onMachine / Math.max(1, s.tasks())
         + tuning.sameZoneWeight() * inZone / Math.max(1, s.tasks())
@@ -264,8 +324,7 @@
    * must spread can't do without the smaller zone; one that need not shouldn't fill it up.
    */
   private double crowding(Job job, String zone) {
-    Map<String, Integer> free =
-        zoneRoom.computeIfAbsent(TaskClass.of(job.spec), k -> roomByZone(job));
+    Map<String, Integer> free = roomByZone(job);
     int most = 0;
     for (int n : free.values()) {
       most = Math.max(most, n);
@@ -285,6 +344,10 @@
   }
 
   private Map<String, Integer> roomByZone(Job job) {
+    return zoneRoom.computeIfAbsent(Shape.of(job.spec), k -> countRoomByZone(job));
+  }
+
+  private Map<String, Integer> countRoomByZone(Job job) {
     Map<String, Integer> free = new HashMap<>();
     for (Machine m : machines) {
       if (job.spec.allows(m.type, m.zone, m.spot)) {
@@ -297,9 +360,16 @@
   private Optional<Choice> evict(Job job) {
     boolean guaranteed = !beyondGuarantee(job.spec.team(), job.spec.cpus(), job.spec.gpus());
     Choice best = null;
-    List<Machine> order = shuffled();
-    for (Machine m : order) {
-      if (!job.spec.allows(m.type, m.zone, m.spot) || !allowedNow(job, m)) {
+    Order order = all();
+    int start = order.start();
+    int met = 0;
+    // As with room, the best of the first that will do: at size, seeing all would cost more than a
+    // better victim saves.
+    for (int i = 0; i < order.size() && met < tuning.sample(); i++) {
+      Machine m = order.get(start, i);
+      if (!job.spec.allows(m.type, m.zone, m.spot)
+          || !allowedNow(job, m)
+          || (!guaranteed && !m.roomAbove(job.spec.priority()).fits(job))) {
         continue;
       }
       List<Placement> candidates = new ArrayList<>();
@@ -325,6 +395,7 @@
       if (!trial.fits(job) || victims.isEmpty()) {
         continue;
       }
+      met++;
       if (best == null || better(victims, m, best, job)) {
         best = new Choice(m, victims);
       }
@@ -348,12 +419,20 @@
     if (!job.spec.service()) {
       return Optional.empty();
     }
-    for (Machine m : shuffled()) {
+    Order order = all();
+    int start = order.start();
+    int asked = 0;
+    for (int i = 0; i < order.size() && asked < tuning.sample(); i++) {
+      Machine m = order.get(start, i);
       if (!job.spec.allows(m.type, m.zone, m.spot) || !allowedNow(job, m)) {
         continue;
       }
       for (Placement p : m.placements.values()) {
-        if (movable(job, p) && hasOtherPlace(p)) {
+        if (!movable(job, p)) {
+          continue;
+        }
+        asked++;
+        if (hasOtherPlace(p)) {
           room(m).give(p.job);
           book(job, m);
           return Optional.of(new Choice(m, List.of(p)));
--- a/src/main/java/io/pearscale/bookkeeping/Renter.java
+++ b/src/main/java/io/pearscale/bookkeeping/Renter.java
@@ -17,7 +17,10 @@
  * for what is left over the cheapest kind that can be had is chosen.
  */
 final class Renter {
-  private static final int MOST_AT_ONCE = 12;
+  private static final int LEAST_AT_ONCE = 12;
+
+  /** The cloud takes no more in one call. */
+  private static final int MOST_OF_A_KIND = 50;
 
   /** A kind of machine: what is refused is refused for one of these. */
   record Kind(String type, String zone, boolean spot) {}
@@ -29,6 +32,7 @@
 
   private final Tuning tuning;
   private final Map<Kind, Refusal> refused = new HashMap<>();
+  private final Map<Kind, Integer> asked = new HashMap<>();
 
   Renter(Tuning tuning) {
     this.tuning = tuning;
@@ -36,18 +40,24 @@
 
   /** The cloud has none of this kind now: it is left alone for a while, longer each time. */
   void noteRefused(Kind kind, Instant now) {
+    asked.remove(kind);
     int times = refused.containsKey(kind) ? refused.get(kind).times + 1 : 1;
     refused.put(kind, new Refusal(now.plusSeconds(Math.min(60, 6L << Math.min(4, times))), times));
   }
 
-  /** This kind was asked for: not again before there is an answer, or it is overdue. */
-  void noteAsked(Kind kind, Instant now) {
+  /**
+   * This kind was asked for: not again before there is an answer, or it is overdue. What was asked
+   * for counts as coming, else the same work would ask for another kind meanwhile.
+   */
+  void noteAsked(Kind kind, int count, Instant now) {
+    asked.put(kind, count);
     int times = refused.containsKey(kind) ? refused.get(kind).times : 0;
     refused.put(kind, new Refusal(now.plusSeconds(15), times));
   }
 
   /** The cloud gave one of this kind. */
   void noteGranted(Kind kind) {
+    asked.remove(kind);
     refused.remove(kind);
   }
 
@@ -76,16 +86,30 @@
     }
   }
 
-  /** What to rent now, given what is on its way. */
+  /**
+   * What to rent now, given what is on its way.
+   *
+   * @param fleet how many machines there are: a large fleet may grow by more at once
+   */
   Map<Kind, Integer> plan(
       List<Demand> demands,
       Collection<Machine> coming,
       Collection<MachineType> types,
+      int fleet,
       Instant now) {
+    int most = Math.max(LEAST_AT_ONCE, fleet / 4);
     List<Bin> bins = new ArrayList<>();
     for (Machine m : coming) {
       bins.add(new Bin(m.type, m.zone, m.spot));
     }
+    asked.forEach(
+        (kind, n) -> {
+          for (MachineType t : types) {
+            for (int i = 0; i < n && t.name().equals(kind.type()); i++) {
+              bins.add(new Bin(t, kind.zone(), kind.spot()));
+            }
+          }
+        });
     Map<Kind, Integer> hires = new LinkedHashMap<>();
     int total = 0;
     for (int i = 0; i < demands.size(); i++) {
@@ -97,8 +121,9 @@
         }
         left -= b.take(d, left);
       }
-      while (left > 0 && total < MOST_AT_ONCE) {
-        Optional<Bin> best = cheapest(d, left, demands.subList(i + 1, demands.size()), types, now);
+      while (left > 0 && total < most) {
+        Optional<Bin> best =
+            cheapest(d, left, demands.subList(i + 1, demands.size()), types, hires, now);
         if (best.isEmpty()) {
           break;
         }
@@ -117,14 +142,21 @@
    * list counts as use too: many small jobs fill a large machine as well as one large job does.
    */
   private Optional<Bin> cheapest(
-      Demand d, int tasks, List<Demand> later, Collection<MachineType> types, Instant now) {
+      Demand d,
+      int tasks,
+      List<Demand> later,
+      Collection<MachineType> types,
+      Map<Kind, Integer> hires,
+      Instant now) {
     Bin best = null;
     double bestCost = Double.MAX_VALUE;
     for (MachineType t : types) {
       for (String zone : t.zones()) {
         for (boolean spot : new boolean[] {true, false}) {
-          Refusal r = refused.get(new Kind(t.name(), zone, spot));
-          if (r != null && now.isBefore(r.until)) {
+          Kind kind = new Kind(t.name(), zone, spot);
+          Refusal r = refused.get(kind);
+          if ((r != null && now.isBefore(r.until))
+              || hires.getOrDefault(kind, 0) >= MOST_OF_A_KIND) {
             continue;
           }
           Bin b = new Bin(t, zone, spot);
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -12,6 +12,7 @@
 import io.pearscale.protocol.Malformed;
 import io.pearscale.protocol.Order;
 import io.pearscale.protocol.PeerMessage.JobCount;
+import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.Report.TaskReport;
 import io.pearscale.protocol.ReportAnswer;
@@ -150,6 +151,13 @@
   private long commits;
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final Set<String> gone = new LinkedHashSet<>();
+
+  /** Jobs with tasks that wait for a machine: a pass looks at these alone. */
+  private final Set<Job> queue = new LinkedHashSet<>();
+
+  /** Machines that something is to be told to. */
+  private final Set<Machine> eager = new LinkedHashSet<>();
+
   private final Map<Job, Set<Integer>> dirty = new LinkedHashMap<>();
   private final Set<Machine> dirtyHosts = new LinkedHashSet<>();
   private final Set<String> garbage = new LinkedHashSet<>();
@@ -165,6 +173,9 @@
   private Instant nextFigures = Instant.MIN;
   private Instant nextMove = Instant.MIN;
   private boolean settledLogged;
+  private int ticks;
+  private Optional<Boolean> fewSilent = Optional.empty();
+  private Duration lastPass = Duration.ZERO;
   private final Map<String, Job> samples = new HashMap<>();
   private final Map<String, ArrayDeque<Integer>> sizes = new HashMap<>();
   private final Histogram startMillis = new Histogram(3);
@@ -290,6 +301,7 @@
       // A worker may have reported before the catalogue was known.
       for (Machine m : machines.values()) {
         m.type = types.getOrDefault(m.type.name(), m.type);
+        m.touch();
       }
     }
   }
@@ -309,6 +321,7 @@
       Job job = new Job(spec, e.stamp(), now().minus(age));
       jobs.put(spec.id(), job);
       noteSize(spec, job);
+      requeue(job);
     } catch (Malformed x) {
       log.error("event=stored_job_unreadable reason={}", x.getMessage());
     }
@@ -319,6 +332,7 @@
     if (job == null || !leading) {
       return;
     }
+    queue.remove(job);
     dirty.remove(job);
     for (Placement p : List.copyOf(job.placed.values())) {
       doom(p);
@@ -361,20 +375,14 @@
     leading = false;
     ready = false;
     machines.clear();
+    queue.clear();
+    eager.clear();
     dirty.clear();
     dirtyHosts.clear();
     garbage.clear();
     knownCounts.clear();
     cloud.tell(new CloudActor.Rest());
-    jobs.values().forEach(SchedulerActor::forget);
-  }
-
-  private static void forget(Job j) {
-    j.placed.clear();
-    j.unknown.clear();
-    j.opened.clear();
-    j.done.clear();
-    j.durableDone.clear();
+    jobs.values().forEach(Job::forget);
   }
 
   /**
@@ -386,7 +394,7 @@
       return;
     }
     ready = true;
-    jobs.values().forEach(SchedulerActor::forget);
+    jobs.values().forEach(Job::forget);
     rawProgress.forEach(
         (key, value) -> {
           Job j = jobs.get(Keys.name(key));
@@ -399,6 +407,7 @@
     for (Job j : jobs.values()) {
       j.unknown.or(j.opened);
       j.unknown.andNot(j.done);
+      requeue(j);
     }
     rawHosts.forEach(
         (key, value) -> {
@@ -446,18 +455,21 @@
 
   /** Tasks that were not seen are nowhere, once every machine that could hold them has spoken. */
   private void releaseUnknown() {
+    if (settledLogged) {
+      return;
+    }
     for (Machine m : machines.values()) {
       if (!m.settled && m.recorded) {
         return;
       }
     }
-    if (!settledLogged) {
-      settledLogged = true;
-      log.info(
-          "event=rebuilt term={} after_ms={}", term, Duration.between(wonAt, now()).toMillis());
-      jobs.values().forEach(j -> j.unknown.clear());
-      schedule();
+    settledLogged = true;
+    log.info("event=rebuilt term={} after_ms={}", term, Duration.between(wonAt, now()).toMillis());
+    for (Job j : jobs.values()) {
+      j.unknown.clear();
+      requeue(j);
     }
+    schedule();
   }
 
   // ---- Reports ----
@@ -523,6 +535,7 @@
     m.lost = false;
     if (!m.settled && r.token() >> TERM_SHIFT == term) {
       m.settled = true;
+      schedule();
     }
     if (r.notice().isPresent() && m.takenAt.isEmpty()) {
       log.info("event=spot_notice term={} machine={} left={}", term, m.name, r.notice().get());
@@ -586,8 +599,10 @@
     if (m.takenAt.isPresent()) {
       drain(m);
     }
+    if (!m.foreign.isEmpty()) {
+      eager.add(m);
+    }
     releaseUnknown();
-    schedule();
   }
 
   private void progress(Placement p, Report.Stage stage) {
@@ -634,6 +649,7 @@
           }
           job.done.set(t.task().index());
           job.unknown.clear(t.task().index());
+          requeue(job);
           mark(job, t.task().index());
         }
       }
@@ -704,17 +720,32 @@
   }
 
   private void add(Placement p) {
-    p.machine.placements.put(p.task, p);
-    p.job.placed.put(p.task.index(), p);
+    p.machine.add(p);
+    p.job.add(p);
+    requeue(p.job);
+    if (p.stage == Stage.PLANNED) {
+      eager.add(p.machine);
+    }
+  }
+
+  /** Keeps the queue true after a job's tasks changed. */
+  private void requeue(Job j) {
+    if (ready && jobs.get(j.spec.id()) == j && j.pending() > 0) {
+      queue.add(j);
+      schedule();
+    } else {
+      queue.remove(j);
+    }
   }
 
   private void remove(Placement p) {
-    p.machine.placements.remove(p.task, p);
-    p.job.placed.remove(p.task.index(), p);
+    p.machine.remove(p);
+    p.job.remove(p);
     if (!p.machine.settled && p.stage != Stage.PLANNED && !p.job.done.get(p.task.index())) {
       // A former leader's command may yet start another attempt here: not free before it is known.
       p.job.unknown.set(p.task.index());
     }
+    requeue(p.job);
     schedule();
   }
 
@@ -728,6 +759,8 @@
       return;
     }
     p.doomed = true;
+    p.machine.touch();
+    eager.add(p.machine);
     if (!p.confirmed && !p.machine.calling) {
       // The start command may still be on its way; only a higher token can overtake it.
       raise(p.machine);
@@ -746,10 +779,12 @@
   // ---- The pass ----
 
   private void schedule() {
-    if (!passPlanned && leading) {
+    if (!passPlanned && leading && !queue.isEmpty()) {
       passPlanned = true;
       long t = term;
-      loop.after(PASS_SPACING, () -> tell(new Pass(t)));
+      // However much there is to decide, most of the time must be left to those who report.
+      Duration rest = lastPass.multipliedBy(4);
+      loop.after(rest.compareTo(PASS_SPACING) > 0 ? rest : PASS_SPACING, () -> tell(new Pass(t)));
     }
   }
 
@@ -768,6 +803,9 @@
 
   private Map<String, Placer.Use> uses() {
     Map<String, Placer.Use> uses = new HashMap<>();
+    if (teams.values().stream().noneMatch(Team::bounded)) {
+      return uses;
+    }
     for (Machine m : machines.values()) {
       for (Placement p : m.placements.values()) {
         charge(uses, p.job.spec, 1);
@@ -804,8 +842,8 @@
   private List<Job> waiting(Instant now) {
     record Ranked(Job job, int lateness, Instant due) {}
     List<Ranked> ranked = new ArrayList<>();
-    for (Job j : jobs.values()) {
-      if (!now.isBefore(j.notBefore) && j.pending() > 0) {
+    for (Job j : queue) {
+      if (!now.isBefore(j.notBefore)) {
         Instant due = due(j);
         Instant end = now.plus(j.spec.estimate());
         Duration allowed = Duration.between(j.submitted, due);
@@ -856,7 +894,7 @@
           usable.add(m);
         }
       }
-      Placer placer = new Placer(tuning, random, teams, usable, uses(), now);
+      Placer placer = new Placer(tuning, random, teams, usable, waiting, uses(), now);
       Set<Machine> touched = new LinkedHashSet<>();
       for (Job j : waiting) {
         place(placer, j, touched, now);
@@ -864,7 +902,8 @@
       touched.forEach(this::kick);
     }
     dispatchAll();
-    passMicros.recordValue(Math.min(3_600_000_000L, (System.nanoTime() - began) / 1000));
+    lastPass = Duration.ofNanos(System.nanoTime() - began);
+    passMicros.recordValue(Math.min(3_600_000_000L, lastPass.toNanos() / 1000));
   }
 
   private void place(Placer placer, Job j, Set<Machine> touched, Instant now) {
@@ -918,10 +957,15 @@
 
   /** Sends start commands for all that is decided, durable and has its room free. */
   private void dispatchAll() {
-    for (Machine m : machines.values()) {
-      if (!m.placements.isEmpty()) {
+    for (Iterator<Machine> it = eager.iterator(); it.hasNext(); ) {
+      Machine m = it.next();
+      if (machines.get(m.name) == m) {
         kick(m);
       }
+      boolean planned = m.placements.values().stream().anyMatch(p -> p.stage == Stage.PLANNED);
+      if (machines.get(m.name) != m || !(planned || wantsCall(m))) {
+        it.remove();
+      }
     }
   }
 
@@ -1113,6 +1157,7 @@
           remove(p);
         } else {
           p.stage = Stage.PLANNED;
+          eager.add(m);
         }
       }
     }
@@ -1389,11 +1434,18 @@
       return;
     }
     Instant now = now();
+    fewSilent = Optional.empty();
+    // A large fleet is looked after in slices, each machine once a second at the latest.
+    int slices = Math.min(4, 1 + machines.size() / 100);
+    int i = ++ticks;
     for (Machine m : List.copyOf(machines.values())) {
-      watch(m, now);
+      if (++i % slices == 0 || !m.settled) {
+        watch(m, now);
+      }
     }
     releaseUnknown();
     schedule();
+    dispatchAll();
     if (now.isAfter(nextRent)) {
       nextRent = now.plusSeconds(1);
       rent(now);
@@ -1539,6 +1591,13 @@
    * it, and only believable, while nearly all others are heard: else it is we who are cut off.
    */
   private boolean fewAreSilent(Instant now) {
+    if (fewSilent.isEmpty()) {
+      fewSilent = Optional.of(countSilent(now));
+    }
+    return fewSilent.get();
+  }
+
+  private boolean countSilent(Instant now) {
     int up = 0;
     int silent = 0;
     Instant limit = now.minus(silentAfter());
@@ -1625,7 +1684,8 @@
         usable.add(m);
       }
     }
-    List<Renter.Demand> demands = new ArrayList<>();
+    // Like tasks are asked for as one.
+    Map<Like, Renter.Demand> demands = new LinkedHashMap<>();
     Map<String, Placer.Use> uses = uses();
     for (Job j : waiting(now)) {
       // What the team's limit keeps waiting would wait on rented machines as well.
@@ -1640,16 +1700,18 @@
         for (String zone : zones()) {
           int n = Math.min(left, j.spec.perZone() - j.inZone(zone));
           if (n > 0) {
-            demands.add(new Renter.Demand(j, n, Optional.of(zone)));
+            demand(demands, j, n, Optional.of(zone));
             left -= n;
           }
         }
       } else {
-        demands.add(new Renter.Demand(j, tasks, Optional.empty()));
+        demand(demands, j, tasks, Optional.empty());
       }
     }
-    demands.addAll(headroom(usable));
-    Map<Kind, Integer> hires = renter.plan(demands, coming, types.values(), now);
+    Headroom headroom = headroom(usable);
+    List<Renter.Demand> all = new ArrayList<>(demands.values());
+    all.addAll(headroom.demands());
+    Map<Kind, Integer> hires = renter.plan(all, coming, types.values(), machines.size(), now);
     hires.forEach(
         (kind, n) -> {
           log.info(
@@ -1660,10 +1722,20 @@
               kind.spot(),
               n);
           // Until the cloud has answered, the kind is not asked for again.
-          renter.noteAsked(kind, now);
+          renter.noteAsked(kind, n, now);
           cloud.tell(new CloudActor.Hire(kind, n));
         });
-    spare(usable, now);
+    spare(usable, headroom, now);
+  }
+
+  private record Like(Placer.Shape shape, Optional<String> zone) {}
+
+  private static void demand(
+      Map<Like, Renter.Demand> demands, Job j, int tasks, Optional<String> zone) {
+    demands.merge(
+        new Like(Placer.Shape.of(j.spec), zone),
+        new Renter.Demand(j, tasks, zone),
+        (a, b) -> new Renter.Demand(a.job(), a.tasks() + b.tasks(), zone));
   }
 
   /** All zones of the catalogue. */
@@ -1674,7 +1746,7 @@
   }
 
   /** Room to keep for classes that are expected to start at once. */
-  private List<Renter.Demand> headroom(List<Machine> usable) {
+  private Headroom headroom(List<Machine> usable) {
     Map<String, Integer> running = new HashMap<>();
     for (Job j : jobs.values()) {
       if (!startsAtOnce(j.spec)) {
@@ -1683,7 +1755,8 @@
       samples.put(j.spec.jobClass(), j);
       running.merge(j.spec.jobClass(), j.placed.size(), Integer::sum);
     }
-    List<Renter.Demand> demands = new ArrayList<>();
+    Set<String> zones = zones();
+    List<Headroom.Want> wants = new ArrayList<>();
     for (Objective o : settings.objectives()) {
       Job sample = samples.get(o.jobClass());
       if (!o.kind().equals("wait") || sample == null) {
@@ -1691,22 +1764,10 @@
       }
       int want =
           2 + (int) Math.ceil(tuning.headroomShare() * running.getOrDefault(o.jobClass(), 0));
-      Map<String, Integer> free = new HashMap<>();
-      for (Machine m : usable) {
-        if (sample.spec.allows(m.type, m.zone, m.spot)) {
-          free.merge(m.zone, m.roomWithEviction(sample), Integer::sum);
-        }
-      }
-      Set<String> zones = zones();
       int each = (want + zones.size() - 1) / Math.max(1, zones.size());
-      for (String zone : zones) {
-        int lacking = each - free.getOrDefault(zone, 0);
-        if (lacking > 0) {
-          demands.add(new Renter.Demand(sample, lacking, Optional.of(zone)));
-        }
-      }
+      wants.add(new Headroom.Want(sample, each));
     }
-    return demands;
+    return new Headroom(wants, zones, usable);
   }
 
   /** How many tasks of a class with a time to keep have room on the machine now. */
@@ -1743,7 +1804,7 @@
    * room to spare for what may come. Such machines are met last by new tasks, run empty, and are
    * given back.
    */
-  private void spare(List<Machine> usable, Instant now) {
+  private void spare(List<Machine> usable, Headroom headroom, Instant now) {
     if (jobs.values().stream().anyMatch(j -> !j.unknown.isEmpty())) {
       return;
     }
@@ -1751,20 +1812,23 @@
       // The state service can't be written: a machine marked now would be of no use to anybody.
       return;
     }
-    List<Machine> candidates = new ArrayList<>(usable);
+    record Candidate(Machine machine, int replicas, double price, double used) {}
+    List<Candidate> candidates = new ArrayList<>();
     double free = 0;
     double used = 0;
     for (Machine m : usable) {
-      double mine = m.type.cpus() - m.room().cpus;
+      double mine = m.type.cpus() - m.roomAbove(Priority.IDLE).cpus;
+      double price = m.type.price(m.spot) / Math.max(1e-9, m.type.cpus());
+      candidates.add(new Candidate(m, replicas(m), price, mine));
       used += mine;
       free += m.type.cpus() - mine;
     }
     // Without replicas first, since those have to be moved; then the dearest and the emptiest.
     candidates.sort(
-        Comparator.comparing(SchedulerActor::replicas)
-            .thenComparing(m -> -m.type.price(m.spot) / Math.max(1e-9, m.type.cpus()))
-            .thenComparing(m -> m.type.cpus() - m.room().cpus)
-            .thenComparing(m -> m.name));
+        Comparator.comparingInt(Candidate::replicas)
+            .thenComparing(Candidate::price, Comparator.reverseOrder())
+            .thenComparingDouble(Candidate::used)
+            .thenComparing(c -> c.machine.name));
     Map<String, Integer> places = new HashMap<>();
     Map<String, Integer> large = new HashMap<>();
     for (String c : sizes.keySet()) {
@@ -1774,31 +1838,29 @@
       }
     }
     double reserve = tuning.spareShare() * used;
-    List<Machine> rest = new ArrayList<>(usable);
-    boolean waiting = jobs.values().stream().anyMatch(j -> j.pending() > 0);
+    Set<Machine> rest = new LinkedHashSet<>(usable);
     boolean emptied = false;
-    // What no machine here can give, in a zone that is full, must not keep all others.
-    int lacking = lacking(usable);
-    for (Machine m : candidates) {
+    for (Candidate c : candidates) {
+      Machine m = c.machine;
       double after = free - m.type.cpus();
-      rest.remove(m);
-      boolean room = !waiting && after >= reserve && lacking(rest) <= lacking;
-      for (String c : sizes.keySet()) {
-        int lost = placesFor(c, m);
-        room &= lost == 0 || places.get(c) - lost >= large.get(c);
+      boolean room = queue.isEmpty() && after >= reserve && headroom.canLose(m);
+      for (String jobClass : sizes.keySet()) {
+        int lost = room ? placesFor(jobClass, m) : 0;
+        room &= lost == 0 || places.get(jobClass) - lost >= large.get(jobClass);
       }
-      int replicas = replicas(m);
+      int replicas = c.replicas;
       if (room && replicas > 0) {
         room = !emptied && replicasFitInto(m, rest, now);
         emptied = true;
       }
       if (!room) {
-        rest.add(m);
         m.spareSince = Instant.MAX;
         continue;
       }
       free = after;
-      sizes.keySet().forEach(c -> places.merge(c, -placesFor(c, m), Integer::sum));
+      rest.remove(m);
+      headroom.lose(m);
+      sizes.keySet().forEach(k -> places.merge(k, -placesFor(k, m), Integer::sum));
       if (m.spareSince.equals(Instant.MAX)) {
         m.spareSince = now;
       }
@@ -1811,10 +1873,6 @@
     }
   }
 
-  private int lacking(List<Machine> usable) {
-    return headroom(usable).stream().mapToInt(Renter.Demand::tasks).sum();
-  }
-
   private static int replicas(Machine m) {
     int n = 0;
     for (Placement p : m.placements.values()) {
@@ -1826,7 +1884,7 @@
   }
 
   /** Whether each replica of the machine could go to one of the others that has its image. */
-  private static boolean replicasFitInto(Machine m, List<Machine> others, Instant now) {
+  private static boolean replicasFitInto(Machine m, Set<Machine> others, Instant now) {
     Map<Machine, Machine.Room> rooms = new HashMap<>();
     for (Placement p : m.placements.values()) {
       if (!p.job.spec.service()) {
--- a/src/main/java/io/pearscale/protocol/Settings.java
+++ b/src/main/java/io/pearscale/protocol/Settings.java
@@ -22,7 +22,12 @@
     int maxConnections) {
 
   /** A team's guarantee and limit; an amount of 0 means that there is none. */
-  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+    /** Whether it has any guarantee or limit, so that its use must be counted. */
+    public boolean bounded() {
+      return cpus > 0 || cpusMax > 0 || gpus > 0 || gpusMax > 0;
+    }
+  }
 
   /** What is expected of a class of jobs. */
   public record Objective(String kind, String jobClass, Duration within) {}
