Let machines and tasks share values, and name the machine in a task's mark

After a takeover every unseen task waited for the last of all machines. Change: the roster and the marks live in shared values of at most 6,000 bytes; a mark names the machine that a task may be on, durable before the start, so that a successor holds it back for that machine alone; finished tasks are written within 4 s or with what is written anyway; a commit pays for its changes with the time until the next. Reports that don't show the new term's token change no books.

--- a/src/main/java/io/pearscale/bookkeeping/Job.java
+++ b/src/main/java/io/pearscale/bookkeeping/Job.java
@@ -1,10 +1,8 @@
 package io.pearscale.bookkeeping;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.pearscale.protocol.JobSpec;
-import io.pearscale.transport.MessagePack;
+import io.pearscale.storage.Marks;
 import java.time.Instant;
-import java.util.Base64;
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,25 +11,21 @@
 
 /** A job that is not over, as the leader sees it. */
 final class Job {
-  /** Tasks of one progress key: two bit sets of this size stay well below any value limit. */
-  static final int CHUNK = 8192;
-
   final JobSpec spec;
   final long stamp;
   final Instant submitted;
 
-  /** Tasks that a start command may ever have been sent for, as far as it is durable. */
-  final BitSet opened = new BitSet();
-
   /** Tasks that are done; {@link #durableDone} says for which of them a successor would know. */
   final BitSet done = new BitSet();
 
   final BitSet durableDone = new BitSet();
 
-  /** Opened tasks that were not seen since the takeover: they may be on any unsettled machine. */
-  final BitSet unknown = new BitSet();
-
+  /**
+   * Where each task is, or may be: also such as were not seen since the takeover, each on the
+   * machine that its mark names.
+   */
   final Map<Integer, Placement> placed = new HashMap<>();
+
   private final Map<String, Integer> byZone = new HashMap<>();
   final Set<String> failedOn = new HashSet<>();
   Instant notBefore = Instant.MIN;
@@ -58,14 +52,12 @@
   void forget() {
     placed.clear();
     byZone.clear();
-    unknown.clear();
-    opened.clear();
     done.clear();
     durableDone.clear();
   }
 
   int pending() {
-    return spec.tasks() - done.cardinality() - placed.size() - unknown.cardinality();
+    return spec.tasks() - done.cardinality() - placed.size();
   }
 
   boolean complete() {
@@ -75,7 +67,7 @@
   /** The next task that waits for a machine, from {@code from} on, or -1. */
   int nextPending(int from) {
     for (int i = from; i < spec.tasks(); i++) {
-      if (!done.get(i) && !unknown.get(i) && !placed.containsKey(i)) {
+      if (!done.get(i) && !placed.containsKey(i)) {
         return i;
       }
     }
@@ -93,7 +85,7 @@
   }
 
   int inZone(String zone) {
-    return unknown.cardinality() + byZone.getOrDefault(zone, 0);
+    return byZone.getOrDefault(zone, 0);
   }
 
   /** Whether no task is placed outside of the zone. */
@@ -101,33 +93,27 @@
     return byZone.getOrDefault(zone, 0) == placed.size();
   }
 
-  JsonNode progress(int chunk) {
-    return MessagePack.map().put("o", pack(opened, chunk)).put("f", pack(done, chunk));
+  /** How many parts its marks come in. */
+  int parts() {
+    return (spec.tasks() + Marks.PART - 1) / Marks.PART;
   }
 
-  void readProgress(int chunk, JsonNode value) {
-    unpack(value.path("o").asText(), chunk, opened);
-    unpack(value.path("f").asText(), chunk, done);
-    durableDone.or(done);
+  /** How large the marks of a part may become. */
+  int marksSize(int part) {
+    return Marks.size(spec.id(), Math.min(Marks.PART, spec.tasks() - part * Marks.PART));
   }
 
-  private static String pack(BitSet bits, int chunk) {
-    byte[] bytes = bits.get(chunk * CHUNK, (chunk + 1) * CHUNK).toByteArray();
-    return Base64.getEncoder().encodeToString(bytes);
+  /** Done tasks of a part, numbered from its first. */
+  BitSet doneOf(int part) {
+    return done.get(part * Marks.PART, (part + 1) * Marks.PART);
   }
 
-  private void unpack(String text, int chunk, BitSet into) {
-    try {
-      BitSet bits = BitSet.valueOf(Base64.getDecoder().decode(text));
-      for (int i = bits.nextSetBit(0); i >= 0; i = bits.nextSetBit(i + 1)) {
-        int index = chunk * CHUNK + i;
-        if (index < spec.tasks()) {
-          into.set(index);
-        }
+  /** The tasks of the part were written as done. */
+  void noteDurable(int part, BitSet bits) {
+    for (int i = bits.nextSetBit(0); i >= 0; i = bits.nextSetBit(i + 1)) {
+      if (part * Marks.PART + i < spec.tasks()) {
+        durableDone.set(part * Marks.PART + i);
       }
-    } catch (IllegalArgumentException e) {
-      // Not written by us. Assume the worst, that everything was opened.
-      opened.set(0, spec.tasks());
     }
   }
 }
--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -58,6 +58,10 @@
   boolean recorded;
 
   boolean recordedRetiring;
+
+  /** What the roster has as the machine's address. */
+  String recordedAddress = "";
+
   boolean deleteSent;
   Instant heard = Instant.MIN;
 
--- a/src/main/java/io/pearscale/bookkeeping/Placement.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placement.java
@@ -17,7 +17,13 @@
 
   final Job job;
   final TaskId task;
-  final long attempt;
+
+  /**
+   * The attempt's number; below 0 when a former leader gave it and no report has shown it: the task
+   * is taken to be where its mark says until a report of that machine, or a proof, tells more.
+   */
+  long attempt;
+
   final Machine machine;
   Stage stage;
 
@@ -26,6 +32,9 @@
 
   long session;
 
+  /** Whether the mark that names the machine is durable: no start is sent before. */
+  boolean marked;
+
   /** Whether a report has shown the attempt. */
   boolean confirmed;
 
--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -285,9 +285,6 @@
       return false;
     }
     if (job.spec.oneZone()) {
-      if (!job.unknown.isEmpty()) {
-        return false;
-      }
       return job.onlyIn(m.zone);
     }
     return true;
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -7,6 +7,7 @@
 import io.pearscale.bookkeeping.Machine.Life;
 import io.pearscale.bookkeeping.Placement.Stage;
 import io.pearscale.bookkeeping.Renter.Kind;
+import io.pearscale.protocol.Fields;
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Malformed;
@@ -21,8 +22,10 @@
 import io.pearscale.protocol.Settings.Team;
 import io.pearscale.protocol.TaskId;
 import io.pearscale.storage.Keys;
+import io.pearscale.storage.Marks;
 import io.pearscale.storage.ReplicaActor.Entry;
 import io.pearscale.storage.ReplicaActor.KeyChange;
+import io.pearscale.storage.Roster;
 import io.pearscale.storage.StateClient;
 import io.pearscale.storage.StateClient.Change;
 import io.pearscale.storage.StateClient.Guard;
@@ -69,8 +72,10 @@
   private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1000);
   private static final Duration TICK = Duration.ofMillis(250);
   private static final Duration PASS_SPACING = Duration.ofMillis(30);
-  private static final Duration COMMIT_SPACING = Duration.ofMillis(60);
+  private static final Duration COMMIT_SPACING = Duration.ofMillis(40);
+  private static final Duration LEISURE = Duration.ofSeconds(4);
   private static final int BODY_LIMIT = 40 * 1024;
+  private static final int SHARED_VALUE = 6000;
   private static final Duration REPEAT = Duration.ofSeconds(2);
   private static final Duration DIRECT_PAUSE = Duration.ofSeconds(3);
   private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(6);
@@ -114,12 +119,18 @@
 
   /** What one transaction carries, to be noted as durable when it has been applied. */
   private record Batch(
-      Map<Job, Map<Integer, BitSet[]>> progress,
-      Map<Machine, Boolean> hosts,
+      Set<Integer> rosters,
+      List<Roster.Entry> hosts,
+      Set<Integer> marks,
+      List<Placement> marked,
+      Map<Part, BitSet> done,
       List<Job> finished,
       List<String> dropped,
       boolean catalogue) {}
 
+  /** Marks of a job are kept in parts. */
+  private record Part(Job job, int part) {}
+
   private final StateClient state;
   private final Calls calls;
   private final Settings settings;
@@ -133,8 +144,8 @@
 
   // Kept on every controller, fed by the replica.
   private final Map<String, Job> jobs = new LinkedHashMap<>();
-  private final Map<String, JsonNode> rawProgress = new TreeMap<>();
-  private final Map<String, JsonNode> rawHosts = new TreeMap<>();
+  private final Map<String, JsonNode> rawMarks = new TreeMap<>();
+  private final Map<String, JsonNode> rawRoster = new TreeMap<>();
   private final Map<String, MachineType> types = new LinkedHashMap<>();
   private final Set<String> storedTypes = new HashSet<>();
   private long epoch;
@@ -158,8 +169,9 @@
   /** Machines that something is to be told to. */
   private final Set<Machine> eager = new LinkedHashSet<>();
 
-  private final Map<Job, Set<Integer>> dirty = new LinkedHashMap<>();
-  private final Set<Machine> dirtyHosts = new LinkedHashSet<>();
+  private Shards<Part> marks;
+  private Shards<Machine> roster;
+  private final Set<Job> finishing = new LinkedHashSet<>();
   private final Set<String> garbage = new LinkedHashSet<>();
   private final Map<String, Integer> knownCounts = new HashMap<>();
   private Renter renter;
@@ -168,6 +180,7 @@
   private boolean commitPlanned;
   private boolean passPlanned;
   private Instant lastCommit = Instant.MIN;
+  private int lastChanges;
   private Instant nextRent = Instant.MIN;
   private Instant nextCounts = Instant.MIN;
   private Instant nextFigures = Instant.MIN;
@@ -208,6 +221,7 @@
     this.counts = counts;
     this.cloud = new CloudActor(loop, calls, settings, e -> tell(new CloudSaid(e)));
     this.renter = new Renter(tuning);
+    newBooks();
     settings.teams().forEach(t -> teams.put(t.name(), t));
   }
 
@@ -263,8 +277,8 @@
         removeJob(id);
       }
     }
-    rawProgress.clear();
-    rawHosts.clear();
+    rawMarks.clear();
+    rawRoster.clear();
     m.all.forEach((key, entry) -> changed(new KeyChange(key, Optional.of(entry))));
     epoch = m.epoch;
     loaded = true;
@@ -279,11 +293,10 @@
       } else {
         removeJob(Keys.name(key));
       }
-    } else if (Keys.isProgress(key)) {
-      c.entry()
-          .ifPresentOrElse(e -> rawProgress.put(key, e.value()), () -> rawProgress.remove(key));
-    } else if (Keys.isHost(key)) {
-      c.entry().ifPresentOrElse(e -> rawHosts.put(key, e.value()), () -> rawHosts.remove(key));
+    } else if (Keys.isMarks(key)) {
+      c.entry().ifPresentOrElse(e -> rawMarks.put(key, e.value()), () -> rawMarks.remove(key));
+    } else if (Keys.isRoster(key)) {
+      c.entry().ifPresentOrElse(e -> rawRoster.put(key, e.value()), () -> rawRoster.remove(key));
     } else if (key.equals(Keys.CATALOGUE) && c.entry().isPresent()) {
       List<MachineType> list = MachineType.parseAll(c.entry().get().value());
       storedTypes.clear();
@@ -333,22 +346,41 @@
       return;
     }
     queue.remove(job);
-    dirty.remove(job);
+    letGo(job);
     for (Placement p : List.copyOf(job.placed.values())) {
       doom(p);
       kick(p.machine);
     }
   }
 
-  /** Progress of jobs that are over, also such as was written just after the job had ended. */
+  /** A job is over: its marks need no room any more. */
+  private void letGo(Job job) {
+    finishing.remove(job);
+    for (int p = 0; p < job.parts(); p++) {
+      marks.remove(new Part(job, p));
+    }
+  }
+
+  /** Values in which nothing lives any more. */
   private void collectGarbage() {
-    for (String key : rawProgress.keySet()) {
-      if (!jobs.containsKey(Keys.name(key))) {
+    for (String key : rawMarks.keySet()) {
+      if (marks.isEmpty(Keys.number(key))) {
+        garbage.add(key);
+      }
+    }
+    for (String key : rawRoster.keySet()) {
+      if (roster.isEmpty(Keys.number(key))) {
         garbage.add(key);
       }
     }
   }
 
+  private void newBooks() {
+    int room = Math.min(SHARED_VALUE, settings.stateLimits().valueBytes() * 3 / 4);
+    marks = new Shards<>(room);
+    roster = new Shards<>(room);
+  }
+
   // ---- Taking over and giving up ----
 
   private void won(Won m) {
@@ -377,8 +409,8 @@
     machines.clear();
     queue.clear();
     eager.clear();
-    dirty.clear();
-    dirtyHosts.clear();
+    newBooks();
+    finishing.clear();
     garbage.clear();
     knownCounts.clear();
     cloud.tell(new CloudActor.Rest());
@@ -395,53 +427,77 @@
     }
     ready = true;
     jobs.values().forEach(Job::forget);
-    rawProgress.forEach(
+    newBooks();
+    finishing.clear();
+    Map<Integer, Machine> numbered = new HashMap<>();
+    rawRoster.forEach(
         (key, value) -> {
-          Job j = jobs.get(Keys.name(key));
-          if (j == null) {
-            garbage.add(key);
-          } else {
-            j.readProgress(Keys.chunk(key), value);
+          for (Roster.Entry e : Roster.decode(value)) {
+            numbered.put(
+                Marks.host(Keys.number(key), e.place(), Shards.PLACES),
+                fromRoster(e, Keys.number(key)));
           }
         });
-    for (Job j : jobs.values()) {
-      j.unknown.or(j.opened);
-      j.unknown.andNot(j.done);
-      requeue(j);
-    }
-    rawHosts.forEach(
+    rawMarks.forEach(
         (key, value) -> {
-          String name = Keys.name(key);
-          MachineType type = types.get(value.path("type").asText());
-          if (type == null) {
-            type = unknownType(value.path("type").asText());
+          for (Marks.Part p : Marks.decode(value)) {
+            Job j = jobs.get(p.job());
+            if (j != null && p.part() >= 0 && p.part() < j.parts()) {
+              fromMarks(j, p, numbered, Keys.number(key));
+            }
           }
-          Machine m =
-              new Machine(
-                  name,
-                  value.path("zone").asText(),
-                  value.path("spot").asBoolean(),
-                  type,
-                  value.path("stage").asText().equals("retiring") ? Life.RETIRING : Life.UP,
-                  now());
-          m.address = value.path("address").asText();
-          m.recorded = true;
-          m.recordedRetiring = m.life == Life.RETIRING;
-          m.everReported = true;
-          m.session = value.path("session").asLong(1);
-          enlist(m);
-          probe(m);
         });
+    jobs.values().forEach(this::requeue);
+    machines.values().forEach(this::probe);
     log.info(
         "event=takeover term={} jobs={} roster={} unseen_tasks={}",
         term,
         jobs.size(),
         machines.size(),
-        jobs.values().stream().mapToInt(j -> j.unknown.cardinality()).sum());
-    releaseUnknown();
+        jobs.values().stream().mapToInt(j -> j.placed.size()).sum());
     schedule();
   }
 
+  private Machine fromRoster(Roster.Entry e, int value) {
+    MachineType type = types.getOrDefault(e.type(), unknownType(e.type()));
+    boolean seen = !e.address().isEmpty();
+    Life life = e.retiring() ? Life.RETIRING : seen ? Life.UP : Life.BOOTING;
+    Machine m = new Machine(e.machine(), e.zone(), e.spot(), type, life, now());
+    m.address = e.address();
+    m.recorded = true;
+    m.recordedRetiring = e.retiring();
+    m.recordedAddress = e.address();
+    m.everReported = seen;
+    m.session = e.session();
+    enlist(m);
+    roster.adopt(m, Roster.size(e), value, e.place());
+    return m;
+  }
+
+  /**
+   * Takes over what is known of a part of a job. A task that is not done may be on the machine that
+   * its mark names, and on no other: the mark is durable before the start is sent, and is changed
+   * only when the task is known to be gone from there. So it waits for that machine alone.
+   */
+  private void fromMarks(Job j, Marks.Part p, Map<Integer, Machine> numbered, int value) {
+    int first = p.part() * Marks.PART;
+    p.done().stream().filter(i -> first + i < j.spec.tasks()).forEach(i -> j.done.set(first + i));
+    j.noteDurable(p.part(), p.done());
+    marks.adopt(new Part(j, p.part()), j.marksSize(p.part()), value);
+    for (int i = 0; i < p.hosts().length && first + i < j.spec.tasks(); i++) {
+      Machine m = numbered.get(p.hosts()[i]);
+      if (m != null && !j.done.get(first + i)) {
+        TaskId task = new TaskId(j.spec.id(), first + i);
+        Placement assumed = new Placement(j, task, -1, m, Stage.SENT, now());
+        assumed.marked = true;
+        add(assumed);
+      }
+    }
+    if (j.complete()) {
+      finishing.add(j);
+    }
+  }
+
   private static MachineType unknownType(String name) {
     return new MachineType(name, 0, 0, 0, 0, 0.1, 0, 0, Duration.ofSeconds(60), List.of());
   }
@@ -453,23 +509,13 @@
     machines.put(m.name, m);
   }
 
-  /** Tasks that were not seen are nowhere, once every machine that could hold them has spoken. */
-  private void releaseUnknown() {
-    if (settledLogged) {
+  /** Notes when all machines that could hold what a former leader started have spoken. */
+  private void noteRebuilt() {
+    if (settledLogged || machines.values().stream().anyMatch(m -> !m.settled && m.recorded)) {
       return;
     }
-    for (Machine m : machines.values()) {
-      if (!m.settled && m.recorded) {
-        return;
-      }
-    }
     settledLogged = true;
     log.info("event=rebuilt term={} after_ms={}", term, Duration.between(wonAt, now()).toMillis());
-    for (Job j : jobs.values()) {
-      j.unknown.clear();
-      requeue(j);
-    }
-    schedule();
   }
 
   // ---- Reports ----
@@ -516,11 +562,13 @@
     m.sequence = r.sequence();
     m.seenToken = Math.max(m.seenToken, r.token());
     m.address = r.address();
-    m.heard = now;
-    m.missedProbes = 0;
     if (m.life == Life.BOOTING) {
       m.life = Life.UP;
     }
+    if (m.recorded && !m.recordedAddress.equals(m.address)) {
+      m.recordedAddress = m.address;
+      roster.home(m).ifPresent(h -> roster.due(h.shard(), now.plus(LEISURE)));
+    }
     if (!m.everReported) {
       m.everReported = true;
       log.info(
@@ -532,11 +580,18 @@
           m.spot,
           Duration.between(m.rented, now).toMillis());
     }
-    m.lost = false;
-    if (!m.settled && r.token() >> TERM_SHIFT == term) {
+    if (!m.settled) {
+      if (r.token() >> TERM_SHIFT != term) {
+        // It has not heard of this term, or is a late copy: it says nothing of what an old command
+        // may yet do, nor that the machine is alive.
+        return;
+      }
       m.settled = true;
       schedule();
     }
+    m.heard = now;
+    m.missedProbes = 0;
+    m.lost = false;
     if (r.notice().isPresent() && m.takenAt.isEmpty()) {
       log.info("event=spot_notice term={} machine={} left={}", term, m.name, r.notice().get());
     }
@@ -552,6 +607,11 @@
         job = null;
       }
       Placement p = m.placements.get(t.task());
+      if (p != null && p.attempt < 0) {
+        p.attempt = t.attempt();
+        p.token = r.token();
+        p.session = r.session();
+      }
       if (p != null && p.attempt != t.attempt()) {
         p = null;
       }
@@ -582,7 +642,7 @@
           adopted.token = r.token();
           adopted.session = r.session();
           add(adopted);
-          job.unknown.clear(t.task().index());
+          mark(adopted);
           seen.add(adopted);
           progress(adopted, t.stage());
         }
@@ -602,7 +662,6 @@
     if (!m.foreign.isEmpty()) {
       eager.add(m);
     }
-    releaseUnknown();
   }
 
   private void progress(Placement p, Report.Stage stage) {
@@ -648,9 +707,16 @@
             doom(other);
           }
           job.done.set(t.task().index());
-          job.unknown.clear(t.task().index());
           requeue(job);
-          mark(job, t.task().index());
+          if (job.complete()) {
+            finishing.add(job);
+            planCommit();
+          } else {
+            // Until it is written, the worker goes on to show it: there is no hurry.
+            Part part = partOf(job, t.task().index());
+            marks.put(part, job.marksSize(part.part));
+            marks.home(part).ifPresent(h -> marks.due(h.shard(), now().plus(LEISURE)));
+          }
         }
       }
       case "error" -> {
@@ -741,10 +807,6 @@
   private void remove(Placement p) {
     p.machine.remove(p);
     p.job.remove(p);
-    if (!p.machine.settled && p.stage != Stage.PLANNED && !p.job.done.get(p.task.index())) {
-      // A former leader's command may yet start another attempt here: not free before it is known.
-      p.job.unknown.set(p.task.index());
-    }
     requeue(p.job);
     schedule();
   }
@@ -761,7 +823,7 @@
     p.doomed = true;
     p.machine.touch();
     eager.add(p.machine);
-    if (!p.confirmed && !p.machine.calling) {
+    if (!p.confirmed && p.attempt >= 0 && !p.machine.calling) {
       // The start command may still be on its way; only a higher token can overtake it.
       raise(p.machine);
     }
@@ -771,11 +833,46 @@
     m.token++;
   }
 
-  private void mark(Job job, int index) {
-    dirty.computeIfAbsent(job, j -> new HashSet<>()).add(index / Job.CHUNK);
+  private static Part partOf(Job job, int index) {
+    return new Part(job, index / Marks.PART);
+  }
+
+  /** The machine of the placement is to be named in the task's mark, and in the roster. */
+  private void mark(Placement p) {
+    Part part = partOf(p.job, p.task.index());
+    enroll(p.machine);
+    if (!p.machine.recorded) {
+      roster.due(p.machine);
+    }
+    marks.put(part, p.job.marksSize(part.part));
+    marks.due(part);
     planCommit();
   }
 
+  private void enroll(Machine m) {
+    roster.put(m, Roster.size(rosterEntry(m, 0)));
+  }
+
+  private static Roster.Entry rosterEntry(Machine m, int place) {
+    return new Roster.Entry(
+        place,
+        m.name,
+        m.address,
+        m.type.name(),
+        m.zone,
+        m.spot,
+        m.session,
+        m.life == Life.RETIRING);
+  }
+
+  /** The machine is gone, or nothing can be alive on it: the roster need not name it any more. */
+  private void strike(Machine m) {
+    roster.home(m).ifPresent(h -> roster.due(h.shard(), now().plus(LEISURE)));
+    roster.remove(m);
+    m.recorded = false;
+    m.recordedRetiring = false;
+  }
+
   // ---- The pass ----
 
   private void schedule() {
@@ -811,11 +908,6 @@
         charge(uses, p.job.spec, 1);
       }
     }
-    for (Job j : jobs.values()) {
-      if (!j.unknown.isEmpty()) {
-        charge(uses, j.spec, j.unknown.cardinality());
-      }
-    }
     return uses;
   }
 
@@ -945,13 +1037,7 @@
           j.spec.jobClass(),
           j.spec.image(),
           m.images.containsKey(j.spec.image()));
-      if (!j.opened.get(i)) {
-        mark(j, i);
-      }
-      if (!m.recorded) {
-        dirtyHosts.add(m);
-        planCommit();
-      }
+      mark(p);
     }
   }
 
@@ -977,7 +1063,7 @@
     }
     Machine.Room room = null;
     for (Placement p : List.copyOf(m.placements.values())) {
-      if (p.stage != Stage.PLANNED || !p.job.opened.get(p.task.index())) {
+      if (p.stage != Stage.PLANNED || !p.marked) {
         continue;
       }
       if (room == null) {
@@ -1009,7 +1095,7 @@
           m.foreign.put(key, now);
         });
     for (Placement p : m.placements.values()) {
-      if (p.doomed) {
+      if (p.doomed && p.attempt >= 0) {
         Duration wait = p.kills == 0 ? Duration.ZERO : REPEAT.plus(p.job.spec.save());
         if (Duration.between(p.killSent, now).compareTo(wait) >= 0 || p.kills == 0) {
           orders.add(Machine.kill(p));
@@ -1049,7 +1135,7 @@
       if (p.doomed && p.kills == 0) {
         return true;
       }
-      if (p.stage == Stage.PLANNED && p.job.opened.get(p.task.index()) && m.recorded) {
+      if (p.stage == Stage.PLANNED && p.marked && m.recorded) {
         return true;
       }
     }
@@ -1170,9 +1256,14 @@
       return;
     }
     commitPlanned = true;
-    Duration since =
-        lastCommit.equals(Instant.MIN) ? COMMIT_SPACING : Duration.between(lastCommit, now());
-    Duration wait = COMMIT_SPACING.minus(since);
+    // A commit pays for its changes with the time until the next one, so that half of all writes
+    // is left to users.
+    Duration pause = Fields.duration(lastChanges / (0.5 * settings.stateLimits().writeRps()));
+    if (pause.compareTo(COMMIT_SPACING) < 0) {
+      pause = COMMIT_SPACING;
+    }
+    Duration since = lastCommit.equals(Instant.MIN) ? pause : Duration.between(lastCommit, now());
+    Duration wait = pause.minus(since);
     long t = term;
     if (wait.isNegative() || wait.isZero()) {
       // After this message: what the rest of the pass decides goes along.
@@ -1192,8 +1283,11 @@
     List<Change> changes = new ArrayList<>();
     Batch batch =
         new Batch(
-            new LinkedHashMap<>(),
-            new LinkedHashMap<>(),
+            new LinkedHashSet<>(),
+            new ArrayList<>(),
+            new LinkedHashSet<>(),
+            new ArrayList<>(),
+            new HashMap<>(),
             new ArrayList<>(),
             new ArrayList<>(),
             catalogueDirty && !types.isEmpty());
@@ -1212,93 +1306,98 @@
         size += body.toString().length();
       }
     }
-    for (Iterator<Machine> it = dirtyHosts.iterator(); it.hasNext() && changes.size() < most; ) {
-      Machine m = it.next();
-      if (machines.get(m.name) != m) {
-        it.remove();
-        continue;
+    // First what waiting tasks need, then what users wait to hear, then what can wait.
+    for (int n : roster.urgent()) {
+      if (changes.size() < most && size < BODY_LIMIT) {
+        size += writeRoster(n, changes, batch);
       }
-      garbage.remove(Keys.host(m.name));
-      changes.add(Change.write(Keys.host(m.name), hostValue(m)));
-      batch.hosts.put(m, m.life == Life.RETIRING);
-      size += 300;
     }
-    for (Map.Entry<Job, Set<Integer>> e : dirty.entrySet()) {
-      Job j = e.getKey();
-      int chunks = (j.spec.tasks() + Job.CHUNK - 1) / Job.CHUNK;
-      if (j.complete()) {
-        if (changes.size() + 2 + chunks > most) {
-          break;
-        }
-        guards.add(new Guard(Keys.live(j.spec.id()), j.stamp));
-        changes.add(Change.drop(Keys.live(j.spec.id())));
-        changes.add(
-            Change.write(
-                Keys.past(j.spec.id()),
-                MessagePack.map().put("stage", "done").put("pieces", j.spec.tasks())));
-        for (int c = 0; c < chunks; c++) {
-          changes.add(Change.drop(Keys.progress(j.spec.id(), c)));
-        }
-        batch.finished.add(j);
-        size += 400 + 100 * chunks;
-        continue;
+    for (int n : marks.urgent()) {
+      if (changes.size() < most && size < BODY_LIMIT) {
+        size += writeMarks(n, changes, batch);
       }
-      for (int c : e.getValue()) {
-        if (changes.size() >= most || size > BODY_LIMIT) {
-          break;
-        }
-        BitSet opened = (BitSet) j.opened.clone();
-        for (Placement p : j.placed.values()) {
-          opened.set(p.task.index());
-        }
-        BitSet done = (BitSet) j.done.clone();
-        Job image = new Job(j.spec, j.stamp, j.submitted);
-        image.opened.or(opened);
-        image.done.or(done);
-        JsonNode value = image.progress(c);
-        changes.add(Change.write(Keys.progress(j.spec.id(), c), value));
-        size += value.toString().length() + 100;
-        batch
-            .progress
-            .computeIfAbsent(j, k -> new HashMap<>())
-            .put(c, new BitSet[] {slice(opened, c), slice(done, c)});
-      }
-      if (changes.size() >= most || size > BODY_LIMIT) {
+    }
+    for (Job j : finishing) {
+      if (changes.size() + 2 > most || size > BODY_LIMIT) {
         break;
       }
+      guards.add(new Guard(Keys.live(j.spec.id()), j.stamp));
+      changes.add(Change.drop(Keys.live(j.spec.id())));
+      changes.add(
+          Change.write(
+              Keys.past(j.spec.id()),
+              MessagePack.map().put("stage", "done").put("pieces", j.spec.tasks())));
+      batch.finished.add(j);
+      size += 400;
+    }
+    Instant now = now();
+    for (int n : roster.overdue(now)) {
+      if (changes.size() < most && size < BODY_LIMIT) {
+        size += writeRoster(n, changes, batch);
+      }
+    }
+    for (int n : marks.overdue(now)) {
+      if (changes.size() < most && size < BODY_LIMIT) {
+        size += writeMarks(n, changes, batch);
+      }
     }
     for (Iterator<String> it = garbage.iterator(); it.hasNext() && changes.size() < most; ) {
       String key = it.next();
-      changes.add(Change.drop(key));
-      batch.dropped.add(key);
+      boolean reused =
+          Keys.isMarks(key) ? !marks.isEmpty(Keys.number(key)) : !roster.isEmpty(Keys.number(key));
+      if (reused) {
+        it.remove();
+      } else {
+        changes.add(Change.drop(key));
+        batch.dropped.add(key);
+      }
     }
     if (changes.size() == 1) {
       return;
     }
     committing = true;
-    lastCommit = now();
+    lastCommit = now;
+    lastChanges = changes.size();
     long t = term;
     state.commit(guards, changes, reply -> tell(new Committed(t, batch, reply)));
   }
 
-  private static BitSet slice(BitSet bits, int chunk) {
-    BitSet s = new BitSet();
-    s.or(bits);
-    s.clear(0, chunk * Job.CHUNK);
-    if (s.length() > (chunk + 1) * Job.CHUNK) {
-      s.clear((chunk + 1) * Job.CHUNK, s.length());
+  private int writeRoster(int n, List<Change> changes, Batch batch) {
+    List<Roster.Entry> entries = new ArrayList<>();
+    roster.items(n).forEach((place, m) -> entries.add(rosterEntry(m, place)));
+    batch.rosters.add(n);
+    batch.hosts.addAll(entries);
+    return write(roster, n, Keys.roster(n), Roster.encode(entries), changes);
+  }
+
+  private int writeMarks(int n, List<Change> changes, Batch batch) {
+    List<Marks.Part> parts = new ArrayList<>();
+    for (Part part : marks.items(n).values()) {
+      int first = part.part * Marks.PART;
+      int[] hosts = new int[Math.min(Marks.PART, part.job.spec.tasks() - first)];
+      for (Placement p : part.job.placed.values()) {
+        int i = p.task.index() - first;
+        Optional<Shards.Home> home = roster.home(p.machine);
+        if (i >= 0 && i < hosts.length && home.isPresent()) {
+          hosts[i] = Marks.host(home.get().shard(), home.get().place(), Shards.PLACES);
+          if (!p.marked) {
+            batch.marked.add(p);
+          }
+        }
+      }
+      BitSet done = part.job.doneOf(part.part);
+      batch.done.put(part, done);
+      parts.add(new Marks.Part(part.job.spec.id(), part.part, done, hosts));
     }
-    return s;
+    batch.marks.add(n);
+    return write(marks, n, Keys.marks(n), Marks.encode(parts), changes);
   }
 
-  private static JsonNode hostValue(Machine m) {
-    return MessagePack.map()
-        .put("stage", m.life == Life.RETIRING ? "retiring" : "usable")
-        .put("address", m.address)
-        .put("type", m.type.name())
-        .put("zone", m.zone)
-        .put("spot", m.spot)
-        .put("session", m.session);
+  private int write(Shards<?> from, int n, String key, JsonNode value, List<Change> changes) {
+    from.sent(n);
+    garbage.remove(key);
+    changes.add(Change.write(key, value));
+    return value.toString().length() + 100;
   }
 
   private void committed(Batch b, Reply reply) {
@@ -1311,13 +1410,15 @@
       }
       return;
     }
+    b.rosters.forEach(roster::due);
+    b.marks.forEach(marks::due);
     List<String> failed = reply.status() == 409 ? StateClient.failedGuards(reply) : List.of();
     if (reply.status() == 409 && !failed.contains(Keys.TERM)) {
       // Somebody was faster with these jobs, by cancelling them; the watch brings the news.
       committing = false;
       for (Job j : b.finished) {
         if (failed.contains(Keys.live(j.spec.id()))) {
-          dirty.remove(j);
+          finishing.remove(j);
         }
       }
       planCommit();
@@ -1363,28 +1464,30 @@
   }
 
   private boolean workToWrite() {
-    return catalogueDirty || !dirty.isEmpty() || !dirtyHosts.isEmpty() || !garbage.isEmpty();
+    Instant now = now();
+    return catalogueDirty
+        || !finishing.isEmpty()
+        || !garbage.isEmpty()
+        || !roster.urgent().isEmpty()
+        || !marks.urgent().isEmpty()
+        || !roster.overdue(now).isEmpty()
+        || !marks.overdue(now).isEmpty();
   }
 
   private void applied(Batch b) {
-    b.progress.forEach(
-        (job, chunks) ->
-            chunks.forEach(
-                (chunk, bits) -> {
-                  job.opened.or(bits[0]);
-                  job.durableDone.or(bits[1]);
-                  settleDirty(job, chunk);
-                }));
-    b.hosts.forEach(
-        (m, retiring) -> {
-          m.recorded = true;
-          m.recordedRetiring = retiring;
-          if (retiring == (m.life == Life.RETIRING)) {
-            dirtyHosts.remove(m);
-          }
-        });
+    b.marked.forEach(p -> p.marked = true);
+    b.done.forEach((part, bits) -> part.job.noteDurable(part.part, bits));
+    for (Roster.Entry e : b.hosts) {
+      Machine m = machines.get(e.machine());
+      if (m != null && roster.home(m).isPresent()) {
+        m.recorded = true;
+        m.recordedRetiring = e.retiring();
+        m.recordedAddress = e.address();
+      }
+    }
     for (Job j : b.finished) {
-      dirty.remove(j);
+      letGo(j);
+      queue.remove(j);
       jobs.remove(j.spec.id());
       j.durableDone.or(j.done);
       log.info(
@@ -1404,27 +1507,6 @@
     deleteRetired();
   }
 
-  /** A chunk stays due while it holds anything that the last write didn't carry. */
-  private void settleDirty(Job job, int chunk) {
-    Set<Integer> chunks = dirty.get(job);
-    if (chunks == null || job.complete()) {
-      return;
-    }
-    for (Placement p : job.placed.values()) {
-      if (p.task.index() / Job.CHUNK == chunk && !job.opened.get(p.task.index())) {
-        return;
-      }
-    }
-    BitSet missing = slice(job.done, chunk);
-    missing.andNot(job.durableDone);
-    if (missing.isEmpty()) {
-      chunks.remove(chunk);
-      if (chunks.isEmpty()) {
-        dirty.remove(job);
-      }
-    }
-  }
-
   // ---- Time ----
 
   private void tick() {
@@ -1443,7 +1525,7 @@
         watch(m, now);
       }
     }
-    releaseUnknown();
+    noteRebuilt();
     schedule();
     dispatchAll();
     if (now.isAfter(nextRent)) {
@@ -1518,12 +1600,9 @@
       for (Placement p : List.copyOf(m.placements.values())) {
         remove(p);
       }
-      if (m.recorded && m.life == Life.UP) {
+      if (m.life == Life.UP) {
         // A successor need not wait for it again. Before its next start it is recorded anew.
-        m.recorded = false;
-        dirtyHosts.remove(m);
-        garbage.add(Keys.host(m.name));
-        planCommit();
+        strike(m);
       }
       log.warn("event=machine_lost term={} machine={} tasks={}", term, m.name, dropped);
     }
@@ -1631,7 +1710,8 @@
     if (m.life != Life.RETIRING) {
       log.info("event=give_back term={} machine={} why={}", term, m.name, why);
       m.life = Life.RETIRING;
-      dirtyHosts.add(m);
+      enroll(m);
+      roster.due(m);
       planCommit();
     }
   }
@@ -1805,7 +1885,7 @@
    * given back.
    */
   private void spare(List<Machine> usable, Headroom headroom, Instant now) {
-    if (jobs.values().stream().anyMatch(j -> !j.unknown.isEmpty())) {
+    if (!settledLogged) {
       return;
     }
     if (now.isAfter(evidence.plusSeconds(2))) {
@@ -1940,6 +2020,9 @@
           Machine m = new Machine(name, e.kind().zone(), e.kind().spot(), type, Life.BOOTING, now);
           m.token = (term << TERM_SHIFT) + 1;
           machines.put(name, m);
+          // Long before its first start, which need not wait for it then.
+          enroll(m);
+          roster.home(m).ifPresent(h -> roster.due(h.shard(), now.plusSeconds(1)));
         }
       }
       log.info("event=rented term={} kind={} count={}", term, e.kind(), e.names().size());
@@ -1977,9 +2060,7 @@
     for (Placement p : List.copyOf(m.placements.values())) {
       remove(p);
     }
-    dirtyHosts.remove(m);
-    garbage.add(Keys.host(name));
-    releaseUnknown();
+    strike(m);
     schedule();
   }
 
--- a/src/main/java/io/pearscale/storage/Keys.java
+++ b/src/main/java/io/pearscale/storage/Keys.java
@@ -19,8 +19,8 @@
   public static final String CATALOGUE = "c/catalogue";
 
   private static final String LIVE = "c/live/";
-  private static final String PROGRESS = "c/run/";
-  private static final String HOST = "c/host/";
+  private static final String MARKS = "c/marks/";
+  private static final String ROSTER = "c/roster/";
   private static final String PAST = "p/";
 
   private Keys() {}
@@ -35,14 +35,14 @@
     return PAST + job;
   }
 
-  /** Opened and finished tasks of a job, in chunks. */
-  public static String progress(String job, int chunk) {
-    return PROGRESS + job + "/" + chunk;
+  /** A value of marks, see {@link Marks}. */
+  public static String marks(int number) {
+    return MARKS + number;
   }
 
-  /** The roster's entry of a machine. */
-  public static String host(String machine) {
-    return HOST + machine;
+  /** A value of the roster, see {@link Roster}. */
+  public static String roster(int number) {
+    return ROSTER + number;
   }
 
   /** Whether the key is a job that is not over. */
@@ -50,25 +50,23 @@
     return key.startsWith(LIVE);
   }
 
-  /** Whether the key is progress of a job. */
-  public static boolean isProgress(String key) {
-    return key.startsWith(PROGRESS);
+  /** Whether the key holds marks. */
+  public static boolean isMarks(String key) {
+    return key.startsWith(MARKS);
   }
 
-  /** Whether the key is an entry of the roster. */
-  public static boolean isHost(String key) {
-    return key.startsWith(HOST);
+  /** Whether the key is a value of the roster. */
+  public static boolean isRoster(String key) {
+    return key.startsWith(ROSTER);
   }
 
-  /** The machine or job in the key. */
+  /** The job in the key of a job. */
   public static String name(String key) {
-    String rest = key.substring(key.indexOf('/', 2) + 1);
-    int slash = rest.indexOf('/');
-    return slash < 0 ? rest : rest.substring(0, slash);
+    return key.substring(key.lastIndexOf('/') + 1);
   }
 
-  /** The chunk in a progress key. */
-  public static int chunk(String key) {
+  /** The number in the key of marks or roster. */
+  public static int number(String key) {
     return Integer.parseInt(key.substring(key.lastIndexOf('/') + 1));
   }
 }
--- /dev/null
+++ b/src/main/java/io/pearscale/storage/Marks.java
@@ -0,0 +1,100 @@
+package io.pearscale.storage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.transport.MessagePack;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.List;
+
+/**
+ * The form in which one value holds what is known of the tasks of many jobs: which are done, and
+ * for each other one the machine that it may be on. The mark is durable before the start command is
+ * sent, so that a new leader need hold a task back for that one machine alone.
+ */
+public final class Marks {
+  /** Tasks of one part of a job: a part's entry stays well below any value's limit. */
+  public static final int PART = 1024;
+
+  private static final int MOST = 0xffff;
+
+  /**
+   * One part of a job.
+   *
+   * @param done tasks that are done, numbered from the part's first
+   * @param hosts for each task the machine's number in the roster plus 1, or 0
+   */
+  public record Part(String job, int part, BitSet done, int[] hosts) {}
+
+  private Marks() {}
+
+  /** The number of a machine that marks name it by. */
+  public static int host(int value, int place, int places) {
+    int n = value * places + place + 1;
+    if (n > MOST) {
+      throw new IllegalArgumentException("the roster is full");
+    }
+    return n;
+  }
+
+  /** How large the entry of a part with so many tasks may become. */
+  public static int size(String job, int tasks) {
+    return job.length() + 24 + base64(tasks / 8 + 1) + base64(2 * tasks);
+  }
+
+  private static int base64(int bytes) {
+    return (bytes + 2) / 3 * 4;
+  }
+
+  /** Encodes a value. */
+  public static JsonNode encode(Collection<Part> parts) {
+    ObjectNode value = MessagePack.map();
+    for (Part p : parts) {
+      int n = 0;
+      for (int i = 0; i < p.hosts.length; i++) {
+        n = p.hosts[i] > 0 ? i + 1 : n;
+      }
+      byte[] hosts = new byte[2 * n];
+      for (int i = 0; i < n; i++) {
+        hosts[2 * i] = (byte) (p.hosts[i] >> 8);
+        hosts[2 * i + 1] = (byte) p.hosts[i];
+      }
+      Base64.Encoder e = Base64.getEncoder().withoutPadding();
+      value.put(
+          p.job + "/" + p.part,
+          e.encodeToString(p.done.toByteArray()) + "|" + e.encodeToString(hosts));
+    }
+    return value;
+  }
+
+  /** Decodes a value. Entries that were not written by this code are passed over. */
+  public static List<Part> decode(JsonNode value) {
+    List<Part> parts = new ArrayList<>();
+    value
+        .fields()
+        .forEachRemaining(
+            f -> {
+              try {
+                int slash = f.getKey().lastIndexOf('/');
+                String[] text = f.getValue().asText().split("\\|", -1);
+                byte[] bytes = Base64.getDecoder().decode(text[1]);
+                int[] hosts = new int[bytes.length / 2];
+                for (int i = 0; i < hosts.length; i++) {
+                  hosts[i] = (bytes[2 * i] & 0xff) << 8 | bytes[2 * i + 1] & 0xff;
+                }
+                parts.add(
+                    new Part(
+                        f.getKey().substring(0, slash),
+                        Integer.parseInt(f.getKey().substring(slash + 1)),
+                        BitSet.valueOf(Base64.getDecoder().decode(text[0])),
+                        hosts));
+              } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+                org.slf4j.LoggerFactory.getLogger(Marks.class)
+                    .error("event=stored_marks_unreadable entry={}", f.getKey());
+              }
+            });
+    return parts;
+  }
+}
--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -9,8 +9,11 @@
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.ReportAnswer;
 import io.pearscale.protocol.Settings;
+import io.pearscale.storage.Keys;
+import io.pearscale.storage.Marks;
 import io.pearscale.storage.ReplicaActor.Entry;
 import io.pearscale.storage.ReplicaActor.KeyChange;
+import io.pearscale.storage.Roster;
 import io.pearscale.storage.StateClient;
 import io.pearscale.transport.Calls;
 import io.pearscale.transport.Loop;
@@ -18,6 +21,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -44,6 +48,8 @@
   private final List<String> given = new ArrayList<>();
   private final List<String> log = new ArrayList<>();
   private final List<String> hires = new ArrayList<>();
+  private final List<Roster.Entry> hosts = new ArrayList<>();
+  private int marked;
   private boolean holdCommits;
   private long stamp;
   private long term;
@@ -94,21 +100,14 @@
       case "type" -> world.cloud.types.put(w.get(1), Scenario.type(w.get(1), world.zones, w));
       case "job" -> job(w);
       case "drop" -> changed("c/live/" + w.get(1), Optional.empty());
-      case "progress" -> {
-        JsonNode v = World.map().put("o", w.get(2)).put("f", w.size() > 3 ? w.get(3) : "");
-        changed("c/run/" + w.get(1) + "/0", Optional.of(v));
+      case "marks" -> marks(w.get(1), w.subList(2, w.size()));
+      case "host" -> {
+        String m = w.get(1);
+        hosts.add(
+            new Roster.Entry(
+                hosts.size(), m, m, "small", zone(m), false, 1, w.get(2).equals("retiring")));
+        changed("c/roster/0", Optional.of(Roster.encode(hosts)));
       }
-      case "host" ->
-          changed(
-              "c/host/" + w.get(1),
-              Optional.of(
-                  World.map()
-                      .put("stage", w.get(2))
-                      .put("address", w.get(1))
-                      .put("type", "small")
-                      .put("zone", zone(w.get(1)))
-                      .put("spot", false)
-                      .put("session", 1)));
       case "won" -> won(Long.parseLong(w.get(1)), w.contains("on-old-copy"));
       case "caught-up" -> {
         core.tell(new SchedulerActor.Changed(List.of(), stamp));
@@ -177,6 +176,63 @@
     return Optional.empty();
   }
 
+  /** Words like 0@m-1 for a task that may be on a machine, and 0=done. */
+  private void marks(String job, List<String> words) {
+    BitSet done = new BitSet();
+    int[] on = new int[words.size()];
+    for (String word : words) {
+      String[] parts = word.split("[@=]");
+      int task = Integer.parseInt(parts[0]);
+      if (word.endsWith("=done")) {
+        done.set(task);
+      } else {
+        Roster.Entry e =
+            hosts.stream().filter(h -> h.machine().equals(parts[1])).findFirst().orElseThrow();
+        on[task] = Marks.host(0, e.place(), 64);
+      }
+    }
+    changed(
+        "c/marks/" + marked++,
+        Optional.of(Marks.encode(List.of(new Marks.Part(job, 0, done, on)))));
+  }
+
+  /** What the state service holds of a task: done, the name of a machine, or none. */
+  private String markOf(String task) {
+    String job = task.split("/")[0];
+    int index = Integer.parseInt(task.split("/")[1]);
+    Map<Integer, String> names = new HashMap<>();
+    world
+        .state
+        .under("c/roster/")
+        .forEach(
+            (key, value) ->
+                Roster.decode(value)
+                    .forEach(
+                        e -> names.put(Marks.host(Keys.number(key), e.place(), 64), e.machine())));
+    for (JsonNode value : world.state.under("c/marks/").values()) {
+      for (Marks.Part p : Marks.decode(value)) {
+        if (p.job().equals(job) && p.done().get(index)) {
+          return "done";
+        } else if (p.job().equals(job) && index < p.hosts().length) {
+          return names.getOrDefault(p.hosts()[index], "none");
+        }
+      }
+    }
+    return "none";
+  }
+
+  /** What the roster says of a machine. */
+  private String rosterOf(String machine) {
+    for (JsonNode value : world.state.under("c/roster/").values()) {
+      for (Roster.Entry e : Roster.decode(value)) {
+        if (e.machine().equals(machine)) {
+          return e.retiring() ? "retiring" : "usable";
+        }
+      }
+    }
+    return "none";
+  }
+
   private static String zone(String machine) {
     return machine.startsWith("b") ? "b" : "a";
   }
@@ -313,15 +369,23 @@
             ? Optional.empty()
             : Optional.of("never started");
       }
+      case "not-started" -> {
+        return given.stream().noneMatch(g -> g.startsWith(w.get(1) + ":"))
+            ? Optional.empty()
+            : Optional.of("started");
+      }
       case "attempts-unique" -> {
         return given.size() == new TreeSet<>(given).size()
             ? Optional.empty()
             : Optional.of("attempts " + given);
       }
-      case "not-stored-host" -> {
-        return world.state.holds("c/host/" + w.get(1), "")
-            ? Optional.of("is stored")
-            : Optional.empty();
+      case "mark" -> {
+        String got = markOf(w.get(1));
+        return got.equals(w.get(2)) ? Optional.empty() : Optional.of("marked " + got);
+      }
+      case "roster" -> {
+        String got = rosterOf(w.get(1));
+        return got.equals(w.get(2)) ? Optional.empty() : Optional.of("roster " + got);
       }
       case "higher-term" -> {
         return higher ? Optional.empty() : Optional.of("not noticed");
--- a/src/test/java/io/pearscale/sim/SimState.java
+++ b/src/test/java/io/pearscale/sim/SimState.java
@@ -266,6 +266,18 @@
     return pairs.containsKey(key) && show(key).contains(text);
   }
 
+  /** All keys with a prefix. */
+  Map<String, JsonNode> under(String prefix) {
+    Map<String, JsonNode> found = new TreeMap<>();
+    pairs.forEach(
+        (key, pair) -> {
+          if (key.startsWith(prefix)) {
+            found.put(key, pair.value);
+          }
+        });
+    return found;
+  }
+
   String show(String key) {
     return pairs.containsKey(key) ? pairs.get(key).value.toString() : "nothing";
   }
