Renew no lease without fresh news of cancels, and share sockets at size

Cause of ran_cancelled: a leader short of processor renewed leases while its watch lay unread, so it knew nothing of cancels made elsewhere. Its grant alone was proof enough. Cause of workers that found nobody: a leader's own connections to each worker, with theirs, came to the limit of 1,200 sockets.

--- a/src/main/java/io/pearscale/bookkeeping/Controller.java
+++ b/src/main/java/io/pearscale/bookkeeping/Controller.java
@@ -114,6 +114,11 @@
       api.tell(new ApiActor.Changed(changes));
       election.tell(new ElectionActor.Changed(changes));
     }
+
+    @Override
+    public void fresh(Instant asOf) {
+      scheduler.tell(new SchedulerActor.Fresh(asOf));
+    }
   }
 
   private final class ElectionListener implements ElectionActor.Listener {
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -73,6 +73,7 @@
   private static final Duration TICK = Duration.ofMillis(250);
   private static final Duration PASS_SPACING = Duration.ofMillis(30);
   private static final Duration COMMIT_SPACING = Duration.ofMillis(40);
+  private static final int PROBES = 40;
   private static final Duration LEISURE = Duration.ofSeconds(4);
   private static final int BODY_LIMIT = 40 * 1024;
   private static final int SHARED_VALUE = 6000;
@@ -90,6 +91,9 @@
   /** Keys changed. */
   public record Changed(List<KeyChange> changes, long epoch) implements Message {}
 
+  /** All changes of the keys that were made by then are known. */
+  public record Fresh(Instant asOf) implements Message {}
+
   /** This controller leads. */
   public record Won(long term, long termStamp, Instant evidence) implements Message {}
 
@@ -158,6 +162,7 @@
   private long termStamp;
   private Instant wonAt = Instant.MIN;
   private Instant evidence = Instant.MIN;
+  private Instant fresh = Instant.MIN;
   private long attempts;
   private long commits;
   private final Map<String, Machine> machines = new LinkedHashMap<>();
@@ -171,6 +176,10 @@
 
   private Shards<Part> marks;
   private Shards<Machine> roster;
+
+  /** Machines of the roster that were not asked since the takeover. */
+  private final ArrayDeque<Machine> unprobed = new ArrayDeque<>();
+
   private final Set<Job> finishing = new LinkedHashSet<>();
   private final Set<String> garbage = new LinkedHashSet<>();
   private final Map<String, Integer> knownCounts = new HashMap<>();
@@ -236,6 +245,8 @@
       if (ready) {
         schedule();
       }
+    } else if (message instanceof Fresh m) {
+      fresh = m.asOf.isAfter(fresh) ? m.asOf : fresh;
     } else if (message instanceof Loaded m) {
       loaded(m);
     } else if (message instanceof Won m) {
@@ -409,6 +420,7 @@
     machines.clear();
     queue.clear();
     eager.clear();
+    unprobed.clear();
     newBooks();
     finishing.clear();
     garbage.clear();
@@ -448,7 +460,9 @@
           }
         });
     jobs.values().forEach(this::requeue);
-    machines.values().forEach(this::probe);
+    unprobed.clear();
+    unprobed.addAll(machines.values());
+    probeMore();
     log.info(
         "event=takeover term={} jobs={} roster={} unseen_tasks={}",
         term,
@@ -521,7 +535,7 @@
   // ---- Reports ----
 
   private ReportAnswer reported(Report r) {
-    if (!leading || !ready || !now().isBefore(evidence.plus(settings.hold()))) {
+    if (!ready || !leads()) {
       return ReportAnswer.UNAVAILABLE;
     }
     if (r.token() >> TERM_SHIFT > term) {
@@ -1056,7 +1070,7 @@
   }
 
   /** Placements that may be started now; they count as sent from here on. */
-  private List<Order> starts(Machine m) {
+  private List<Order> starts(Machine m, Set<Ended> cleared) {
     List<Order> orders = new ArrayList<>();
     if (!m.recorded || m.life != Life.UP || !m.settled || m.lost) {
       return orders;
@@ -1066,6 +1080,10 @@
       if (p.stage != Stage.PLANNED || !p.marked) {
         continue;
       }
+      if (m.ended.keySet().stream()
+          .anyMatch(e -> e.task().equals(p.task) && !cleared.contains(e))) {
+        continue; // the worker might call the task busy
+      }
       if (room == null) {
         room = m.physicalRoom();
       }
@@ -1081,8 +1099,16 @@
     return orders;
   }
 
+  /**
+   * Whether leases may be renewed and commands sent: only while it is known that no other leads,
+   * and of which jobs were cancelled, as of at most hold ago. A renewal of the grant shows the
+   * former alone: a leader whose watch is stuck would keep cancelled tasks alive.
+   */
   private boolean leads() {
-    return leading && now().isBefore(evidence.plus(settings.hold()));
+    Instant now = now();
+    return leading
+        && now.isBefore(evidence.plus(settings.hold()))
+        && now.isBefore(fresh.plus(settings.hold()));
   }
 
   /** All that the worker has to be told now. */
@@ -1111,17 +1137,21 @@
     }
     // After a clear the worker would take a late start command for a new one: only clear when
     // no command without an answer can still come.
-    if (!m.calling && !m.inDoubt()) {
+    // Nor in a direct command: an answer to a report may be on its way and carry the same start,
+    // which is certain to be over when the next report is here.
+    Set<Ended> cleared = new HashSet<>();
+    if (inAnswer && !m.calling && !m.inDoubt()) {
       for (Ended e : m.ended.keySet()) {
         Job job = jobs.get(e.task().job());
         if (job == null
             || !job.done.get(e.task().index())
             || job.durableDone.get(e.task().index())) {
           orders.add(Order.clear(e.task(), e.attempt()));
+          cleared.add(e);
         }
       }
     }
-    orders.addAll(starts(m));
+    orders.addAll(starts(m, cleared));
     return orders;
   }
 
@@ -1168,6 +1198,18 @@
     }
   }
 
+  /** After a takeover: asks all, a part at a time, since each answer costs time and a socket. */
+  private void probeMore() {
+    long open = machines.values().stream().filter(m -> m.calling).count();
+    while (open < PROBES && !unprobed.isEmpty()) {
+      Machine m = unprobed.poll();
+      if (!m.settled && !m.calling && machines.get(m.name) == m && !m.address.isEmpty()) {
+        send(m, List.of());
+        open++;
+      }
+    }
+  }
+
   private void send(Machine m, List<Order> orders) {
     m.calling = true;
     long token = m.token;
@@ -1187,6 +1229,9 @@
   private void done(Done d) {
     Machine m = d.machine;
     m.calling = false;
+    if (!unprobed.isEmpty()) {
+      probeMore();
+    }
     if (machines.get(m.name) != m) {
       return;
     }
@@ -1614,7 +1659,7 @@
     if (m.life == Life.UP
         && m.everReported
         && !m.lost
-        && (!m.settled || quiet)
+        && ((!m.settled && unprobed.isEmpty()) || quiet)
         && !m.calling
         && now.isAfter(m.directAfter)) {
       probe(m);
--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -37,9 +37,11 @@
                     .getMap());
     XnioLoop loop = new XnioLoop(worker.getIoThread());
     ByteBufferPool buffers = new DefaultByteBufferPool(false, 8192, 200, 4);
-    // Most sockets are for users; what we open ourselves is one or two for each worker.
+    // Most sockets are for workers and users, who may all come to one controller when it is the
+    // only
+    // one left. What we open ourselves is closed when others need it.
     HttpCalls calls =
-        new HttpCalls(loop, worker.getIoThread(), buffers, settings.maxConnections() / 3);
+        new HttpCalls(loop, worker.getIoThread(), buffers, settings.maxConnections() / 5);
     PeerLinks links =
         new PeerLinks(
             loop,
@@ -66,7 +68,7 @@
             settings.clientListen(),
             worker,
             buffers,
-            settings.maxConnections() / 2,
+            settings.maxConnections() * 7 / 10,
             controller::request);
     loop.execute(
         () -> {
--- a/src/main/java/io/pearscale/storage/ReplicaActor.java
+++ b/src/main/java/io/pearscale/storage/ReplicaActor.java
@@ -5,6 +5,7 @@
 import io.pearscale.transport.Calls.Reply;
 import io.pearscale.transport.Loop;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -20,9 +21,9 @@
  */
 public final class ReplicaActor extends Actor<ReplicaActor.Message> {
   private static final Duration BLOCK = Duration.ofSeconds(2);
-  private static final Duration REOPEN = Duration.ofMillis(20);
+  private static final Duration REOPEN = Duration.ofMillis(50);
   private static final Duration RETRY = Duration.ofMillis(500);
-  private static final Duration BARRIER_SPACING = Duration.ofMillis(80);
+  private static final Duration BARRIER_SPACING = Duration.ofMillis(150);
   private static final int PAGE = 500;
 
   /** A key's value and revision. */
@@ -45,9 +46,10 @@
 
   private record Page(int generation, Reply reply) implements Message {}
 
-  private record Watched(int generation, Reply reply) implements Message {}
+  private record Watched(int generation, Instant sent, Reply reply) implements Message {}
 
-  private record Caught(int generation, List<Ask> asks, Reply reply) implements Message {}
+  private record Caught(int generation, Instant sent, List<Ask> asks, Reply reply)
+      implements Message {}
 
   private record SendBarrier() implements Message {}
 
@@ -58,6 +60,9 @@
 
     /** Keys changed, in order. */
     void changed(List<KeyChange> changes, long epoch);
+
+    /** All that had changed by then has been told. */
+    void fresh(Instant asOf);
   }
 
   private final StateClient state;
@@ -91,7 +96,7 @@
     } else if (message instanceof Page m && m.generation == generation) {
       page(m.reply);
     } else if (message instanceof Watched m && m.generation == generation) {
-      watched(m.reply);
+      watched(m);
     } else if (message instanceof Ask m) {
       ask(m);
     } else if (message instanceof SendBarrier) {
@@ -140,10 +145,16 @@
     loading = new TreeMap<>();
     epoch = loadEpoch;
     int g = generation;
-    state.watch(Keys.CURRENT, epoch, Duration.ZERO, r -> tell(new Watched(g, r)));
+    watch(g, Duration.ZERO);
+  }
+
+  private void watch(int g, Duration block) {
+    Instant sent = loop.clock().instant();
+    state.watch(Keys.CURRENT, epoch, block, r -> tell(new Watched(g, sent, r)));
   }
 
-  private void watched(Reply reply) {
+  private void watched(Watched m) {
+    Reply reply = m.reply;
     if (reply.status() == 410) {
       load();
       return;
@@ -158,13 +169,15 @@
         planBarrier();
       }
     }
+    if (good) {
+      listeners.forEach(l -> l.fresh(m.sent));
+    }
     int g = generation;
     loop.after(
         good ? REOPEN : jitter(RETRY),
         () -> {
           if (g == generation) {
-            state.watch(
-                Keys.CURRENT, epoch, loaded ? BLOCK : Duration.ZERO, r -> tell(new Watched(g, r)));
+            watch(g, loaded ? BLOCK : Duration.ZERO);
           }
         });
   }
@@ -219,7 +232,8 @@
     List<Ask> asks = waiting;
     waiting = new ArrayList<>();
     int g = generation;
-    state.watch(Keys.CURRENT, epoch, Duration.ZERO, r -> tell(new Caught(g, asks, r)));
+    Instant sent = loop.clock().instant();
+    state.watch(Keys.CURRENT, epoch, Duration.ZERO, r -> tell(new Caught(g, sent, asks, r)));
     loop.after(
         BARRIER_SPACING,
         () -> {
@@ -232,6 +246,9 @@
 
   private void caught(Caught m) {
     boolean good = loaded && m.generation == generation && m.reply.ok() && apply(m.reply);
+    if (good) {
+      listeners.forEach(l -> l.fresh(m.sent));
+    }
     for (Ask a : m.asks) {
       a.answer.accept(
           good ? Optional.of(Optional.ofNullable(entries.get(a.key))) : Optional.empty());
--- a/src/main/java/io/pearscale/transport/HttpCalls.java
+++ b/src/main/java/io/pearscale/transport/HttpCalls.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.xnio.ChannelListeners;
@@ -40,6 +41,10 @@
   private final ByteBufferPool buffers;
   private final int maxOpen;
   private final Map<String, Host> hosts = new HashMap<>();
+
+  /** Idle connections, the one that was used longest ago first. */
+  private final LinkedHashMap<ClientConnection, Host> idle = new LinkedHashMap<>();
+
   private int open;
 
   /** Uses at most {@code maxOpen} sockets. */
@@ -81,6 +86,7 @@
       if (connection != null) {
         if (reusable && connection.isOpen() && host.idle.size() < IDLE_PER_HOST) {
           host.idle.push(connection);
+          idle.put(connection, host);
         } else {
           IoUtils.safeClose(connection);
         }
@@ -202,13 +208,17 @@
     Host host = hosts.computeIfAbsent(address, a -> new Host());
     Pending pending = new Pending(address, host, request, bytes, answer);
     loop.after(timeout, () -> pending.finish(Reply.NONE, false));
-    ClientConnection idle;
-    while ((idle = host.idle.poll()) != null) {
-      if (idle.isOpen()) {
-        pending.send(idle);
+    ClientConnection kept;
+    while ((kept = host.idle.poll()) != null) {
+      idle.remove(kept);
+      if (kept.isOpen()) {
+        pending.send(kept);
         return;
       }
     }
+    if (open >= maxOpen) {
+      closeIdle();
+    }
     if (host.connecting >= CONNECTING_PER_HOST || open >= maxOpen) {
       loop.execute(() -> pending.finish(Reply.NONE, false));
       return;
@@ -216,6 +226,23 @@
     connect(pending);
   }
 
+  /** With more hosts than sockets, the connection that was not needed for longest makes room. */
+  private void closeIdle() {
+    var oldest = idle.keySet().iterator();
+    if (oldest.hasNext()) {
+      ClientConnection c = oldest.next();
+      forget(c);
+      IoUtils.safeClose(c);
+    }
+  }
+
+  private void forget(ClientConnection c) {
+    Host host = idle.remove(c);
+    if (host != null) {
+      host.idle.remove(c);
+    }
+  }
+
   private void connect(Pending pending) {
     Host host = pending.host;
     host.connecting++;
@@ -226,7 +253,13 @@
               @Override
               public void completed(ClientConnection connection) {
                 host.connecting--;
-                connection.getCloseSetter().set(c -> open--);
+                connection
+                    .getCloseSetter()
+                    .set(
+                        c -> {
+                          open--;
+                          forget(connection);
+                        });
                 if (pending.answer == null) {
                   IoUtils.safeClose(connection);
                 } else {
--- a/src/main/java/io/pearscale/transport/PeerLinks.java
+++ b/src/main/java/io/pearscale/transport/PeerLinks.java
@@ -39,6 +39,8 @@
   private static final Duration SILENCE = Duration.ofSeconds(3);
   private static final Duration RETRY = Duration.ofMillis(400);
   private static final Duration DIAL = Duration.ofSeconds(2);
+  private static final Duration GATHER = Duration.ofMillis(4);
+  private static final int MOST_GATHERED = 64;
 
   private final Loop loop;
   private final XnioWorker worker;
@@ -53,6 +55,7 @@
     StreamConnection out;
     final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
     int queued;
+    boolean flushPlanned;
     Instant heard = Instant.MIN;
     boolean wasUp;
 
@@ -124,7 +127,16 @@
       return false;
     }
     enqueue(p, frame);
-    flush(p);
+    if (!p.flushPlanned) {
+      // Records come in crowds; each write costs as much as many records.
+      p.flushPlanned = true;
+      loop.after(
+          GATHER,
+          () -> {
+            p.flushPlanned = false;
+            flush(p);
+          });
+    }
     return true;
   }
 
@@ -210,16 +222,17 @@
     }
     ConduitStreamSinkChannel sink = c.getSinkChannel();
     try {
-      ByteBuffer head;
-      while ((head = p.queue.peek()) != null) {
-        int n = sink.write(head);
-        p.queued -= n;
-        if (head.hasRemaining()) {
+      while (!p.queue.isEmpty()) {
+        ByteBuffer[] heads = p.queue.stream().limit(MOST_GATHERED).toArray(ByteBuffer[]::new);
+        p.queued -= (int) sink.write(heads, 0, heads.length);
+        while (!p.queue.isEmpty() && !p.queue.peek().hasRemaining()) {
+          p.queue.poll();
+        }
+        if (heads[heads.length - 1].hasRemaining()) {
           sink.setWriteListener(ch -> flush(p));
           sink.resumeWrites();
           return;
         }
-        p.queue.poll();
       }
       sink.flush();
       sink.suspendWrites();
@@ -231,7 +244,7 @@
   /** Cuts an accepted connection into frames. */
   private final class Reader {
     private final StreamConnection connection;
-    private final ByteBuffer chunk = ByteBuffer.allocate(8192);
+    private final ByteBuffer chunk = ByteBuffer.allocate(32768);
     private ByteBuffer frame = ByteBuffer.allocate(4);
     private boolean inBody;
     private Peer from;
