Count a session's lease from its start, clear above all starts, find deaf machines

A session's lease runs from its start. Found by reading on the way: a copy or late answer could start an attempt again after it was cleared. Change: a new session counts as renewed when it is first seen; what clears an attempt carries a higher token than any of its starts; a machine that shows an older token than it was answered with, or turns to another controller although answered, hears nothing until it shows a raised token; a refused link deposes a leader only when it writes nothing for 0.7 s (a leader that misses a peer writes every 0.2 s).

--- a/src/main/java/io/pearscale/bookkeeping/Controller.java
+++ b/src/main/java/io/pearscale/bookkeeping/Controller.java
@@ -85,7 +85,12 @@
             timeOfDay,
             t -> tellElection(new ElectionActor.HigherTerm(t)),
             this::counts);
-    this.relay = new RelayActor(loop, settings.host(), links, this::local);
+    this.relay =
+        new RelayActor(
+            loop,
+            settings.host(),
+            links,
+            (report, answer) -> local(report, settings.host(), answer));
     replica.listen(new ReplicaListener());
   }
 
@@ -93,8 +98,8 @@
     election.tell(m);
   }
 
-  private void local(Report report, Consumer<ReportAnswer> answer) {
-    if (!scheduler.tell(new SchedulerActor.Reported(report, answer))) {
+  private void local(Report report, String via, Consumer<ReportAnswer> answer) {
+    if (!scheduler.tell(new SchedulerActor.Reported(report, via, answer))) {
       answer.accept(ReportAnswer.UNAVAILABLE);
     }
   }
@@ -156,6 +161,15 @@
     started = loop.clock().instant();
     replica.tell(new ReplicaActor.Start());
     heartbeat();
+    beat();
+  }
+
+  /** While a peer can't be reached, the leader shows by writes that it lives. */
+  private void beat() {
+    if (links.connected().size() < settings.peers().size()) {
+      scheduler.tell(new SchedulerActor.Beat());
+    }
+    loop.after(ElectionActor.BEAT, this::beat);
   }
 
   private void heartbeat() {
@@ -187,6 +201,7 @@
     } else if (message instanceof ForwardedReport m) {
       local(
           m.report(),
+          peer,
           a -> links.send(peer, PeerMessage.encode(new ForwardedAnswer(m.exchange(), a))));
     } else if (message instanceof ForwardedAnswer m) {
       relay.tell(new RelayActor.Answered(m));
@@ -195,7 +210,7 @@
     }
   }
 
-  /** A peer's process seems to have ended. */
+  /** A peer refuses connections: its process may have ended. */
   public void peerEnded(String peer) {
     peers.remove(peer);
     election.tell(new ElectionActor.PeerEnded(peer));
--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -43,6 +43,14 @@
 
   long token;
 
+  /** The token of the last answer to a report, and the controller through which it went. */
+  long answered = -1;
+
+  String via = "";
+
+  /** Reports in a row that did not show what the one before was answered with. */
+  int unheard;
+
   /**
    * A command with this token got no answer: it may yet be executed, until a higher one is seen.
    */
@@ -89,7 +97,10 @@
 
   final Map<TaskId, Placement> placements = new LinkedHashMap<>();
   private Room[] rooms;
-  final Map<Ended, Boolean> ended = new HashMap<>();
+
+  /** Attempts that ended, each with a token that no start command for it was above. */
+  final Map<Ended, Long> ended = new HashMap<>();
+
   final Map<Ended, Instant> foreign = new HashMap<>();
 
   /** Images used here, the latest last, with their sizes. */
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -103,8 +103,12 @@
   /** It does not lead any more. */
   public record Lost(long term) implements Message {}
 
-  /** A worker's report, to be answered. */
-  public record Reported(Report report, Consumer<ReportAnswer> answer) implements Message {}
+  /** A worker's report, to be answered; {@code via} is the controller that it came to. */
+  public record Reported(Report report, String via, Consumer<ReportAnswer> answer)
+      implements Message {}
+
+  /** The leader is to show that it lives, by a write if there is none to be made anyway. */
+  public record Beat() implements Message {}
 
   private record Tick(long term) implements Message {}
 
@@ -186,6 +190,7 @@
   private Renter renter;
   private boolean catalogueDirty;
   private boolean committing;
+  private boolean beat;
   private boolean commitPlanned;
   private boolean passPlanned;
   private Instant lastCommit = Instant.MIN;
@@ -237,7 +242,7 @@
   @Override
   protected void receive(Message message) {
     if (message instanceof Reported m) {
-      m.answer.accept(reported(m.report));
+      m.answer.accept(reported(m.report, m.via));
     } else if (message instanceof Changed m) {
       m.changes.forEach(this::changed);
       epoch = m.epoch;
@@ -257,6 +262,9 @@
       lost();
     } else if (message instanceof CloudSaid m && leading) {
       cloudSaid(m.event);
+    } else if (message instanceof Beat && ready) {
+      beat = true;
+      planCommit();
     } else if (message instanceof Tick m && leading && m.term == term) {
       tick();
     } else if (message instanceof Pass m && leading && m.term == term) {
@@ -534,7 +542,7 @@
 
   // ---- Reports ----
 
-  private ReportAnswer reported(Report r) {
+  private ReportAnswer reported(Report r, String via) {
     if (!ready || !leads()) {
       return ReportAnswer.UNAVAILABLE;
     }
@@ -548,13 +556,36 @@
       log.debug("event=report_dropped machine={}", r.machine());
       return ReportAnswer.UNAVAILABLE;
     }
-    absorb(m, r);
+    absorb(m, r, hears(m, r, via));
     m.renewed = now();
+    m.via = via;
     List<Order> orders = m.settled && r.token() <= m.token ? orders(m, true) : List.of();
     kick(m);
+    m.answered = m.token;
     return new ReportAnswer(200, m.token, orders);
   }
 
+  /**
+   * Whether the machine has got the last answer, as far as its report can tell. One whose reports
+   * come while answers and commands don't reach it has a voice, but its lease runs out all the
+   * same: it shows an older token than it was answered with, or turns to another controller
+   * although it was answered, as workers do when no answer comes. A higher token makes sure.
+   */
+  private boolean hears(Machine m, Report r, String via) {
+    if (r.token() < m.answered) {
+      m.unheard++;
+      return false;
+    }
+    m.unheard = 0;
+    if (m.via.isEmpty() || m.via.equals(via)) {
+      return true;
+    }
+    if (m.token <= r.token()) {
+      raise(m);
+    }
+    return false;
+  }
+
   private Machine machineOf(Report r) {
     Machine m = machines.get(r.machine());
     if (m == null) {
@@ -569,9 +600,18 @@
     return m;
   }
 
-  /** Takes in what a worker says, from whichever way it came. The message must be a newer one. */
-  private void absorb(Machine m, Report r) {
+  /**
+   * Takes in what a worker says, from whichever way it came. The message must be a newer one.
+   *
+   * @param hears whether it shows that what we say reaches the machine
+   */
+  private void absorb(Machine m, Report r, boolean hears) {
     Instant now = now();
+    if (r.session() > m.session && now.isAfter(m.renewed)) {
+      // A session's lease runs from when it began, without any answer: what is started in it by
+      // direct commands may live as long as if the last report had been answered now.
+      m.renewed = now;
+    }
     m.session = r.session();
     m.sequence = r.sequence();
     m.seenToken = Math.max(m.seenToken, r.token());
@@ -603,13 +643,16 @@
       m.settled = true;
       schedule();
     }
-    m.heard = now;
-    m.missedProbes = 0;
+    if (hears) {
+      m.heard = now;
+      m.missedProbes = 0;
+    }
     m.lost = false;
     if (r.notice().isPresent() && m.takenAt.isEmpty()) {
       log.info("event=spot_notice term={} machine={} left={}", term, m.name, r.notice().get());
     }
     m.takenAt = r.notice().map(now::plus);
+    Map<Ended, Long> oldEnded = new HashMap<>(m.ended);
     m.ended.clear();
     Map<Ended, Instant> oldForeign = new HashMap<>(m.foreign);
     m.foreign.clear();
@@ -630,7 +673,9 @@
         p = null;
       }
       if (t.stage() == Report.Stage.ENDED) {
-        m.ended.put(key, Boolean.TRUE);
+        // What is done stays done however often it is started: no token need be raised for it.
+        long started = t.cause().equals("done") ? -1 : p != null ? p.token : m.token;
+        m.ended.put(key, oldEnded.getOrDefault(key, started));
         if (p != null) {
           remove(p);
         }
@@ -906,6 +951,7 @@
         && !m.faulty
         && m.takenAt.isEmpty()
         && m.everReported
+        && m.unheard == 0
         && !now.isBefore(m.avoidUntil)
         && Duration.between(m.heard, now)
                 .compareTo(settings.workers().report().multipliedBy(2).plusSeconds(1))
@@ -1135,21 +1181,25 @@
         orders.add(Order.run(p.task, p.attempt));
       }
     }
-    // After a clear the worker would take a late start command for a new one: only clear when
-    // no command without an answer can still come.
-    // Nor in a direct command: an answer to a report may be on its way and carry the same start,
-    // which is certain to be over when the next report is here.
     Set<Ended> cleared = new HashSet<>();
-    if (inAnswer && !m.calling && !m.inDoubt()) {
-      for (Ended e : m.ended.keySet()) {
-        Job job = jobs.get(e.task().job());
-        if (job == null
-            || !job.done.get(e.task().index())
-            || job.durableDone.get(e.task().index())) {
-          orders.add(Order.clear(e.task(), e.attempt()));
-          cleared.add(e);
-        }
+    for (Map.Entry<Ended, Long> entry : m.ended.entrySet()) {
+      Ended e = entry.getKey();
+      Job job = jobs.get(e.task().job());
+      if (job != null && job.done.get(e.task().index()) && !job.durableDone.get(e.task().index())) {
+        continue;
+      }
+      // After a clear the worker would take a late start command for a new one, be it in doubt, on
+      // its way or a copy. So what clears an attempt carries a higher token than any start of it
+      // did: from then on the worker refuses those. Only what is done may be started again: it
+      // stays done.
+      if (entry.getValue() < 0 && (m.calling || m.inDoubt())) {
+        continue;
+      }
+      if (m.token <= entry.getValue()) {
+        raise(m);
       }
+      orders.add(Order.clear(e.task(), e.attempt()));
+      cleared.add(e);
     }
     orders.addAll(starts(m, cleared));
     return orders;
@@ -1250,7 +1300,7 @@
         }
         boolean wasSettled = m.settled;
         if (r.newerThan(m.session, m.sequence)) {
-          absorb(m, r);
+          absorb(m, r, true);
         }
         if (!wasSettled && !m.settled && d.reply.status() == 409) {
           probe(m);
@@ -1397,9 +1447,10 @@
         batch.dropped.add(key);
       }
     }
-    if (changes.size() == 1) {
+    if (changes.size() == 1 && !beat) {
       return;
     }
+    beat = false;
     committing = true;
     lastCommit = now;
     lastChanges = changes.size();
--- a/src/main/java/io/pearscale/coordination/ElectionActor.java
+++ b/src/main/java/io/pearscale/coordination/ElectionActor.java
@@ -32,6 +32,14 @@
   private static final Duration TTL = Duration.ofMillis(2200);
   private static final Duration RENEW = Duration.ofMillis(550);
 
+  /** A leader whose links are refused writes more often than this, see {@link #BEAT}. */
+  private static final Duration SUSPICION = Duration.ofMillis(700);
+
+  private static final Duration SETTLING = Duration.ofMillis(150);
+
+  /** How often a leader shows that it lives, while a peer can't be reached. */
+  public static final Duration BEAT = Duration.ofMillis(200);
+
   /** What the actor understands. */
   public sealed interface Message {}
 
@@ -47,9 +55,13 @@
   /** A peer says who leads; counts only for controllers that can't ask the state service. */
   public record Heard(long term, String leader) implements Message {}
 
-  /** A peer's process seems to have ended. */
+  /** A peer refuses connections: its process may have ended. */
   public record PeerEnded(String peer) implements Message {}
 
+  private record FirstLook(long term, String peer, Reply reply) implements Message {}
+
+  private record SecondLook(long term, String peer, long stamp, Reply reply) implements Message {}
+
   private record Renew(int round) implements Message {}
 
   private record Stand(int round) implements Message {}
@@ -138,6 +150,10 @@
       heard(m);
     } else if (message instanceof PeerEnded m) {
       peerEnded(m.peer);
+    } else if (message instanceof FirstLook m) {
+      firstLook(m);
+    } else if (message instanceof SecondLook m) {
+      secondLook(m);
     } else if (message instanceof Stand m && m.round == round) {
       stand();
     } else if (message instanceof Granted m && m.round == round) {
@@ -200,15 +216,44 @@
     }
   }
 
+  private boolean leads(String peer, long term) {
+    return !leading
+        && knownTerm() == term
+        && leadEntry.map(e -> e.value().path("node").asText().equals(peer)).orElse(false);
+  }
+
   /**
-   * A leader whose process has ended need not be waited for until its grant runs out. Should it
-   * live all the same, this costs an election and nothing else: terms and tokens keep order.
+   * A leader whose process has ended need not be waited for until its grant runs out. But a refused
+   * connection proves nothing: there may be a packet filter in between. A living leader that can't
+   * reach a peer raises the stamp of the term's key again and again ({@link #BEAT}); only when two
+   * looks at it find the same stamp is its grant revoked.
    */
   private void peerEnded(String peer) {
-    if (!leading
-        && leadEntry.map(e -> e.value().path("node").asText().equals(peer)).orElse(false)) {
-      log.info("event=leader_ended term={} host={}", knownTerm(), peer);
+    long t = knownTerm();
+    if (leads(peer, t)) {
+      // What it wrote last may still be on its way.
+      loop.after(SETTLING, () -> state.read(Keys.TERM, r -> tell(new FirstLook(t, peer, r))));
+    }
+  }
+
+  private void firstLook(FirstLook m) {
+    if (m.reply.ok() && leads(m.peer, m.term)) {
+      long stamp = m.reply.body().path("stamp").asLong();
+      loop.after(
+          SUSPICION,
+          () -> state.read(Keys.TERM, r -> tell(new SecondLook(m.term, m.peer, stamp, r))));
+    }
+  }
+
+  private void secondLook(SecondLook m) {
+    if (!m.reply.ok() || !leads(m.peer, m.term)) {
+      return;
+    }
+    if (m.reply.body().path("stamp").asLong() == m.stamp) {
+      log.info("event=leader_ended term={} host={}", m.term, m.peer);
       state.revoke(leadEntry.get().value().path("grant").asLong(), r -> {});
+    } else {
+      log.info("event=leader_only_refuses term={} host={}", m.term, m.peer);
     }
   }
 
--- a/src/main/java/io/pearscale/transport/Links.java
+++ b/src/main/java/io/pearscale/transport/Links.java
@@ -15,7 +15,7 @@
     /** A whole record came in from the named peer. */
     void received(String peer, byte[] frame);
 
-    /** The peer closed its link and refuses new ones: its process has probably ended. */
+    /** The peer closed its link and refuses new ones: its process may have ended. */
     void ended(String peer);
   }
 }
--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -50,6 +50,7 @@
   private final List<String> hires = new ArrayList<>();
   private final List<Roster.Entry> hosts = new ArrayList<>();
   private int marked;
+  private String via = "hive-0";
   private boolean holdCommits;
   private long stamp;
   private long term;
@@ -156,10 +157,11 @@
       }
       case "report" -> {
         answer = Optional.empty();
-        core.tell(new SchedulerActor.Reported(report(w), a -> answer = Optional.of(a)));
+        core.tell(new SchedulerActor.Reported(report(w), via, a -> answer = Optional.of(a)));
         settle(Duration.ofMillis(1));
         answer.ifPresent(a -> a.orders().forEach(o -> note(o.toNode())));
       }
+      case "via" -> via = w.get(1);
       case "reply" -> {
         Pending p = direct.remove(w.get(1));
         if (p == null) {
--- a/src/test/java/io/pearscale/sim/RandomRunsTest.java
+++ b/src/test/java/io/pearscale/sim/RandomRunsTest.java
@@ -89,7 +89,7 @@
     String node = "hive-" + r.nextInt(3);
     String machine = "m-00000" + r.nextInt(6);
     String hold = r.nextBoolean() ? " hold" : "";
-    switch (r.nextInt(10)) {
+    switch (r.nextInt(16)) {
       case 0 -> s.append("at %.2f crash %s\nat %.2f start %s\n".formatted(at, node, end, node));
       case 1 -> s.append("at %.2f crash all\nat %.2f start all\n".formatted(at, at + 3));
       case 2 ->
@@ -112,6 +112,30 @@
           s.append(
               "at %.2f late-commits %d %.2f\n"
                   .formatted(at, 1 + r.nextInt(4), 1 + r.nextDouble() * 20));
+      case 9 ->
+          s.append("at %.2f deafen %s\nat %.2f undeafen %s\n".formatted(at, machine, end, machine));
+      case 10 ->
+          s.append(
+              "at %.2f copies %s %d %.2f\n"
+                  .formatted(at, machine, 1 + r.nextInt(8), 1 + r.nextDouble() * 50));
+      case 11 -> s.append("at %.2f links refused\nat %.2f links up\n".formatted(at, end));
+      case 12 -> {
+        for (String other : new String[] {"state", "hive-0", "hive-1", "hive-2"}) {
+          if (!other.equals(node)) {
+            s.append(
+                "at %.2f cut %s %s%s\nat %.2f heal %s %s\n"
+                    .formatted(at, node, other, hold, end, node, other));
+          }
+        }
+      }
+      case 13 -> {
+        for (int k = 0; k < 3; k++) {
+          s.append(
+              "at %.2f crash hive-%d\nat %.2f start hive-%d\n"
+                  .formatted(at + 0.3 * k, k, at + 0.3 * k + 0.1 + r.nextDouble() * 0.3, k));
+        }
+      }
+      case 14 -> s.append("at %.2f reboot %s\n".formatted(at, machine));
       case 8 -> s.append("at %.2f refuse %s\nat %.2f serve %s\n".formatted(at, node, end, node));
       default ->
           s.append(
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -210,6 +210,24 @@
           world.cloud.down = false;
         }
       }
+      case "links" -> {
+        world.linksRefused = w.get(1).equals("refused");
+        if (world.linksRefused) {
+          world.nodes.values().forEach(SimNode::linksRefused);
+        }
+      }
+      case "reboot" -> {
+        SimWorker worker = world.workers.get(name(w.get(1)));
+        if (worker != null) {
+          worker.reboot();
+        }
+      }
+      case "deafen" -> world.deaf.add(name(w.get(1)));
+      case "undeafen" -> world.deaf.remove(name(w.get(1)));
+      case "copies" -> {
+        world.copies.put(name(w.get(1)), Integer.parseInt(w.get(2)));
+        world.copiesBy = seconds(w.get(3));
+      }
       case "refuse" -> world.state.refuses.add(name(w.get(1)));
       case "serve" -> world.state.refuses.remove(name(w.get(1)));
       case "late-commits" -> {
@@ -258,8 +276,12 @@
       good = world.cloud.rentals <= Integer.parseInt(w.get(2));
     } else if (w.get(0).equals("leader")) {
       good = world.state.leader().isPresent();
+    } else if (w.get(0).equals("terms")) {
+      good =
+          world.state.under("c/term").get("c/term").path("term").asLong()
+              <= Long.parseLong(w.get(2));
     } else if (w.get(0).equals("gone")) {
-      good = world.workers.get(w.get(1)).isDead();
+      good = world.workers.get(name(w.get(1))).isDead();
     } else if (w.get(0).equals("starts")) {
       int starts = world.starts.getOrDefault(w.get(1), 0);
       int bound = Integer.parseInt(w.get(3));
--- a/src/test/java/io/pearscale/sim/SimNode.java
+++ b/src/test/java/io/pearscale/sim/SimNode.java
@@ -91,6 +91,9 @@
 
     @Override
     public boolean send(String peer, byte[] frame) {
+      if (world.linksRefused) {
+        return false;
+      }
       SimNode to = world.nodes.get(peer);
       world.carry(name, peer, () -> to.fromPeer(name, frame));
       return true;
@@ -101,7 +104,7 @@
       Set<String> up = new LinkedHashSet<>();
       heard.forEach(
           (peer, at) -> {
-            if (at.isAfter(world.now.minusSeconds(3))) {
+            if (!world.linksRefused && at.isAfter(world.now.minusSeconds(3))) {
               up.add(peer);
             }
           });
@@ -152,6 +155,17 @@
     }
   }
 
+  /** Its links were closed, and new ones are refused, while all processes live. */
+  void linksRefused() {
+    if (controller != null) {
+      for (SimNode n : world.nodes.values()) {
+        if (n != this) {
+          controller.peerEnded(n.name);
+        }
+      }
+    }
+  }
+
   /** Hands a peer record in, as if it came over the link. */
   void inject(byte[] frame) {
     fromPeer(world.nodes.keySet().stream().filter(n -> !n.equals(name)).findFirst().get(), frame);
--- a/src/test/java/io/pearscale/sim/SimWorker.java
+++ b/src/test/java/io/pearscale/sim/SimWorker.java
@@ -81,6 +81,16 @@
     clearTasks();
   }
 
+  /** Back within a moment, with nothing of what it ran and nothing of what it was told. */
+  void reboot() {
+    clearTasks();
+    session++;
+    sequence = 0;
+    token = 0;
+    leaseFrom = world.now;
+    reportSoon();
+  }
+
   void hang() {
     hung = true;
   }
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -58,6 +58,16 @@
   final List<Settings.Objective> objectives = new ArrayList<>();
 
   // Faults of the network.
+  boolean linksRefused;
+
+  /** Machines whose messages arrive, while nothing reaches them. */
+  final Set<String> deaf = new HashSet<>();
+
+  /** How many of a machine's next reports are delivered once more, and how much later. */
+  final Map<String, Integer> copies = new HashMap<>();
+
+  Duration copiesBy = Duration.ZERO;
+
   private final Set<String> cuts = new HashSet<>();
   private final Set<String> holds = new HashSet<>();
   private final Map<String, List<Runnable>> held = new HashMap<>();
@@ -145,6 +155,9 @@
 
   /** Carries a message; it may be lost or held when there is a cut. */
   void carry(String from, String to, Runnable deliver) {
+    if (deaf.contains(to)) {
+      return;
+    }
     if (matches(cuts, from, to)) {
       if (matches(holds, from, to)) {
         held.computeIfAbsent(pair(from, to), k -> new ArrayList<>()).add(deliver);
@@ -173,6 +186,11 @@
         };
     after(timeout, () -> once.accept(Reply.NONE));
     JsonNode copy = body.deepCopy();
+    if (copies.getOrDefault(from, 0) > 0) {
+      copies.merge(from, -1, Integer::sum);
+      String later = randomHealthyNode().map(n -> n.name).orElse(to);
+      after(copiesBy, () -> serve(from, later, method, path, copy, r -> {}));
+    }
     carry(
         from,
         to,
