Give up attempts to connect in time, and let unanswered probes back off

A profile by message showed 2,000 calls a second to workers: connections to cut machines neither open nor fail, the HTTP client never gives them up, so they filled the bound of 240 sockets, all further calls failed at once, those to the state service too, and each failure was tried again at once. Change: an attempt to connect ends with its request; an idle connection that is closed to make room frees its place at once; probes pause twice as long after each miss, at most 40 at a time.

--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -74,6 +74,7 @@
   private static final Duration PASS_SPACING = Duration.ofMillis(30);
   private static final Duration COMMIT_SPACING = Duration.ofMillis(40);
   private static final int PROBES = 40;
+  private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
   private static final Duration LEISURE = Duration.ofSeconds(4);
   private static final int BODY_LIMIT = 40 * 1024;
   private static final int SHARED_VALUE = 6000;
@@ -201,6 +202,10 @@
   private Instant nextMove = Instant.MIN;
   private boolean settledLogged;
   private int ticks;
+
+  /** Questions under way to machines that are to show themselves. */
+  private int probing;
+
   private Optional<Boolean> fewSilent = Optional.empty();
   private Duration lastPass = Duration.ZERO;
   private final Map<String, Job> samples = new HashMap<>();
@@ -415,6 +420,7 @@
     commitPlanned = false;
     passPlanned = false;
     settledLogged = false;
+    probing = 0;
     renter = new Renter(tuning);
     cloud.tell(new CloudActor.Lead(term));
     long t = term;
@@ -645,7 +651,10 @@
     }
     if (hears) {
       m.heard = now;
-      m.missedProbes = 0;
+      if (m.missedProbes > 0) {
+        m.missedProbes = 0;
+        m.directAfter = now;
+      }
     }
     m.lost = false;
     if (r.notice().isPresent() && m.takenAt.isEmpty()) {
@@ -1250,18 +1259,17 @@
 
   /** After a takeover: asks all, a part at a time, since each answer costs time and a socket. */
   private void probeMore() {
-    long open = machines.values().stream().filter(m -> m.calling).count();
-    while (open < PROBES && !unprobed.isEmpty()) {
+    while (probing < PROBES && !unprobed.isEmpty()) {
       Machine m = unprobed.poll();
       if (!m.settled && !m.calling && machines.get(m.name) == m && !m.address.isEmpty()) {
         send(m, List.of());
-        open++;
       }
     }
   }
 
   private void send(Machine m, List<Order> orders) {
     m.calling = true;
+    probing += orders.isEmpty() ? 1 : 0;
     long token = m.token;
     ObjectNode body = MessagePack.map().put("baton", token).put("stint", m.session);
     var list = body.putArray("orders");
@@ -1279,6 +1287,7 @@
   private void done(Done d) {
     Machine m = d.machine;
     m.calling = false;
+    probing -= d.orders.isEmpty() ? 1 : 0;
     if (!unprobed.isEmpty()) {
       probeMore();
     }
@@ -1313,8 +1322,10 @@
       }
     }
     if (d.orders.isEmpty()) {
+      // Each miss doubles the pause: a zone that is cut off must not keep us busy.
       m.missedProbes++;
-      m.directAfter = now().plusMillis(100);
+      Duration pause = FIRST_PAUSE.multipliedBy(1L << Math.min(6, m.missedProbes));
+      m.directAfter = now().plus(pause);
       return;
     }
     // It may have been executed, or be executed later: a higher token puts an end to that.
@@ -1712,6 +1723,7 @@
         && !m.lost
         && ((!m.settled && unprobed.isEmpty()) || quiet)
         && !m.calling
+        && probing < PROBES
         && now.isAfter(m.directAfter)) {
       probe(m);
     }
--- a/src/main/java/io/pearscale/transport/HttpCalls.java
+++ b/src/main/java/io/pearscale/transport/HttpCalls.java
@@ -11,17 +11,24 @@
 import io.undertow.util.HttpString;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
+import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -37,7 +44,7 @@
   private static final int IDLE_PER_HOST = 6;
 
   private final Loop loop;
-  private final XnioIoThread thread;
+  private final Dialler dialler;
   private final ByteBufferPool buffers;
   private final int maxOpen;
   private final Map<String, Host> hosts = new HashMap<>();
@@ -45,12 +52,15 @@
   /** Idle connections, the one that was used longest ago first. */
   private final LinkedHashMap<ClientConnection, Host> idle = new LinkedHashMap<>();
 
-  private int open;
+  /** Open connections, without those that are being closed. */
+  private final Set<ClientConnection> counted = new HashSet<>();
+
+  private int connecting;
 
   /** Uses at most {@code maxOpen} sockets. */
   public HttpCalls(Loop loop, XnioIoThread thread, ByteBufferPool buffers, int maxOpen) {
     this.loop = loop;
-    this.thread = thread;
+    this.dialler = new Dialler(thread);
     this.buffers = buffers;
     this.maxOpen = maxOpen;
   }
@@ -68,6 +78,8 @@
     final byte[] body;
     Consumer<Reply> answer;
     ClientConnection connection;
+    IoFuture<StreamConnection> attempt;
+    boolean dialling;
 
     Pending(String address, Host host, ClientRequest request, byte[] body, Consumer<Reply> answer) {
       this.address = address;
@@ -83,6 +95,10 @@
       }
       Consumer<Reply> to = answer;
       answer = null;
+      if (dialling) {
+        dialled();
+        attempt.cancel();
+      }
       if (connection != null) {
         if (reusable && connection.isOpen() && host.idle.size() < IDLE_PER_HOST) {
           host.idle.push(connection);
@@ -94,6 +110,13 @@
       to.accept(reply);
     }
 
+    /** The attempt to connect is over, or given up. */
+    void dialled() {
+      dialling = false;
+      host.connecting--;
+      connecting--;
+    }
+
     void send(ClientConnection on) {
       connection = on;
       on.sendRequest(request, this);
@@ -216,10 +239,10 @@
         return;
       }
     }
-    if (open >= maxOpen) {
+    if (open() >= maxOpen) {
       closeIdle();
     }
-    if (host.connecting >= CONNECTING_PER_HOST || open >= maxOpen) {
+    if (host.connecting >= CONNECTING_PER_HOST || open() >= maxOpen) {
       loop.execute(() -> pending.finish(Reply.NONE, false));
       return;
     }
@@ -232,10 +255,15 @@
     if (oldest.hasNext()) {
       ClientConnection c = oldest.next();
       forget(c);
+      counted.remove(c);
       IoUtils.safeClose(c);
     }
   }
 
+  private int open() {
+    return connecting + counted.size();
+  }
+
   private void forget(ClientConnection c) {
     Host host = idle.remove(c);
     if (host != null) {
@@ -246,37 +274,80 @@
   private void connect(Pending pending) {
     Host host = pending.host;
     host.connecting++;
-    open++;
+    connecting++;
+    pending.dialling = true;
     UndertowClient.getInstance()
         .connect(
             new ClientCallback<>() {
               @Override
               public void completed(ClientConnection connection) {
-                host.connecting--;
+                if (!pending.dialling) {
+                  IoUtils.safeClose(connection);
+                  return;
+                }
+                pending.dialled();
+                counted.add(connection);
                 connection
                     .getCloseSetter()
                     .set(
                         c -> {
-                          open--;
+                          counted.remove(connection);
                           forget(connection);
                         });
-                if (pending.answer == null) {
-                  IoUtils.safeClose(connection);
-                } else {
-                  pending.send(connection);
-                }
+                pending.send(connection);
               }
 
               @Override
               public void failed(IOException e) {
-                host.connecting--;
-                open--;
-                pending.finish(Reply.NONE, false);
+                if (pending.dialling) {
+                  pending.dialled();
+                  pending.finish(Reply.NONE, false);
+                }
               }
             },
             URI.create("http://" + pending.address),
-            thread,
+            dialler,
             buffers,
             OptionMap.EMPTY);
+    pending.attempt = dialler.last;
+  }
+
+  /**
+   * Dials on the loop's thread and keeps hold of the attempt. A connection to a machine that is cut
+   * off neither opens nor fails for minutes, and Undertow's client has no way to give it up: some
+   * hundred of them would take all sockets, also those for the state service.
+   */
+  private static final class Dialler extends XnioIoThread {
+    private final XnioIoThread thread;
+    IoFuture<StreamConnection> last;
+
+    Dialler(XnioIoThread thread) {
+      super(thread.getWorker(), thread.getNumber());
+      this.thread = thread;
+    }
+
+    @Override
+    public IoFuture<StreamConnection> openStreamConnection(
+        SocketAddress destination,
+        ChannelListener<? super StreamConnection> opened,
+        OptionMap options) {
+      last = thread.openStreamConnection(destination, opened, options);
+      return last;
+    }
+
+    @Override
+    public void execute(Runnable task) {
+      thread.execute(task);
+    }
+
+    @Override
+    public Key executeAfter(Runnable task, long time, TimeUnit unit) {
+      return thread.executeAfter(task, time, unit);
+    }
+
+    @Override
+    public Key executeAtInterval(Runnable task, long time, TimeUnit unit) {
+      return thread.executeAtInterval(task, time, unit);
+    }
   }
 }
