Let the peers vouch for a leader while the state service is out

Cause: in an outage a leader let go of all leases hold after its last proof, and a crash in the outage left running work a few seconds only. Change: a leader whose renewals stay out asks its peers; if each of them, and its own users' interface, knows no newer term and names the cancels that it told lately, the proof counts from when the question was sent. A proof that has run out is renewed by the state service alone; a peer that has not loaded since it started gives no word.

--- a/src/main/java/io/pearscale/bookkeeping/ApiActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/ApiActor.java
@@ -21,6 +21,7 @@
 import io.pearscale.transport.Loop;
 import io.pearscale.transport.MessagePack;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -60,6 +61,9 @@
   /** Keys changed. */
   public record Changed(List<KeyChange> changes) implements Message {}
 
+  /** Asks which jobs this controller has told as cancelled lately. */
+  public record Recent(Consumer<List<String>> answer) implements Message {}
+
   /** The leader's counts, for display. */
   public record Counts(List<JobCount> jobs) implements Message {}
 
@@ -97,6 +101,7 @@
   private List<MachineType> types = List.of();
   private boolean loaded;
   private int open;
+  private final Map<String, Instant> withdrawn = new LinkedHashMap<>();
   private final Map<String, Past> past =
       new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -142,6 +147,8 @@
       if (counts.size() > 2 * MOST_LIVE) {
         counts.keySet().retainAll(live);
       }
+    } else if (message instanceof Recent m) {
+      m.answer.accept(recent());
     } else if (message instanceof Created m) {
       created(m);
     } else if (message instanceof Withdrawn m) {
@@ -308,6 +315,7 @@
       JsonNode v = m.reply.body().path("value");
       Past p = new Past(v.path("stage").asText(), v.path("pieces").asInt());
       past.put(m.id, p);
+      noteWithdrawn(m.id, p);
       m.then.accept(new Over(p));
     } else if (m.reply.status() == 404) {
       m.then.accept(new Nothing());
@@ -316,6 +324,19 @@
     }
   }
 
+  private void noteWithdrawn(String id, Past p) {
+    if (p.stage.equals("withdrawn")) {
+      withdrawn.put(id, loop.clock().instant());
+    }
+  }
+
+  /** What a leader may not know although it has a proof: that is never older than hold. */
+  private List<String> recent() {
+    Instant limit = loop.clock().instant().minus(settings.hold().multipliedBy(2));
+    withdrawn.values().removeIf(t -> t.isBefore(limit));
+    return List.copyOf(withdrawn.keySet());
+  }
+
   private String liveStage(String id) {
     JobCount c = counts.get(id);
     return c != null && c.running() > 0 ? "running" : "pending";
@@ -365,7 +386,9 @@
 
   private void withdrawn(Withdrawn m) {
     if (m.reply.ok()) {
-      past.put(m.id, new Past("withdrawn", m.pieces));
+      Past p = new Past("withdrawn", m.pieces);
+      past.put(m.id, p);
+      noteWithdrawn(m.id, p);
       live.remove(m.id);
       log.info("event=withdrawn job={}", m.id);
       m.answer.accept(Response.of(200, stage(m.id, "withdrawn")));
--- a/src/main/java/io/pearscale/bookkeeping/Controller.java
+++ b/src/main/java/io/pearscale/bookkeeping/Controller.java
@@ -28,6 +28,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
@@ -137,6 +138,22 @@
       scheduler.tell(new SchedulerActor.Confirmed(evidence));
     }
 
+    @Override
+    public void vouched(Instant evidence, Set<String> withdrawn) {
+      scheduler.tell(new SchedulerActor.Vouched(evidence, withdrawn));
+    }
+
+    @Override
+    public void ask(long nonce) {
+      byte[] frame = PeerMessage.encode(new PeerMessage.Question(nonce));
+      settings.peers().keySet().forEach(p -> links.send(p, frame));
+      // What this controller told itself counts as well: the watch may not have shown it yet.
+      long known = term;
+      api.tell(
+          new ApiActor.Recent(
+              ids -> tellElection(new ElectionActor.Vouched(settings.host(), nonce, known, ids))));
+    }
+
     @Override
     public void lost(long oldTerm) {
       scheduler.tell(new SchedulerActor.Lost(oldTerm));
@@ -198,6 +215,17 @@
     if (message instanceof Heartbeat m) {
       peers.put(peer, new PeerState(loop.clock().instant(), m.storeOk()));
       election.tell(new ElectionActor.Heard(m.term(), m.leader()));
+    } else if (message instanceof PeerMessage.Question m) {
+      if (loaded) {
+        long known = term;
+        api.tell(
+            new ApiActor.Recent(
+                ids ->
+                    links.send(
+                        peer, PeerMessage.encode(new PeerMessage.Vouch(m.nonce(), known, ids)))));
+      }
+    } else if (message instanceof PeerMessage.Vouch m) {
+      election.tell(new ElectionActor.Vouched(peer, m.nonce(), m.term(), m.withdrawn()));
     } else if (message instanceof ForwardedReport m) {
       local(
           m.report(),
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -101,6 +101,9 @@
   /** It still led at that time. */
   public record Confirmed(Instant evidence) implements Message {}
 
+  /** The peers have said so; they told these jobs as cancelled. */
+  public record Vouched(Instant evidence, Set<String> withdrawn) implements Message {}
+
   /** It does not lead any more. */
   public record Lost(long term) implements Message {}
 
@@ -263,6 +266,11 @@
       won(m);
     } else if (message instanceof Confirmed m) {
       evidence = m.evidence;
+    } else if (message instanceof Vouched m) {
+      // First what was cancelled, then the proof.
+      m.withdrawn.forEach(this::removeJob);
+      evidence = m.evidence.isAfter(evidence) ? m.evidence : evidence;
+      fresh = m.evidence.isAfter(fresh) ? m.evidence : fresh;
     } else if (message instanceof Lost) {
       lost();
     } else if (message instanceof CloudSaid m && leading) {
--- a/src/main/java/io/pearscale/coordination/ElectionActor.java
+++ b/src/main/java/io/pearscale/coordination/ElectionActor.java
@@ -14,9 +14,11 @@
 import io.pearscale.transport.MessagePack;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -35,6 +37,9 @@
   /** A leader whose links are refused writes more often than this, see {@link #BEAT}. */
   private static final Duration SUSPICION = Duration.ofMillis(700);
 
+  /** A leader whose renewals stay out for so long asks its peers. */
+  private static final Duration DOUBT = Duration.ofMillis(1200);
+
   private static final Duration SETTLING = Duration.ofMillis(150);
 
   /** How often a leader shows that it lives, while a peer can't be reached. */
@@ -58,6 +63,10 @@
   /** A peer refuses connections: its process may have ended. */
   public record PeerEnded(String peer) implements Message {}
 
+  /** A peer's word, see {@link #ask}. */
+  public record Vouched(String peer, long nonce, long term, List<String> withdrawn)
+      implements Message {}
+
   private record FirstLook(long term, String peer, Reply reply) implements Message {}
 
   private record SecondLook(long term, String peer, long stamp, Reply reply) implements Message {}
@@ -82,6 +91,12 @@
     /** The state service has confirmed that this controller still led when it was asked. */
     void confirmed(Instant evidence);
 
+    /** All peers have confirmed the same, and named the jobs that they told as cancelled lately. */
+    void vouched(Instant evidence, Set<String> withdrawn);
+
+    /** All peers are to be asked for their word. */
+    void ask(long nonce);
+
     /** This controller does not lead any more. */
     void lost(long term);
 
@@ -104,6 +119,10 @@
   private long grant;
   private long term;
   private Instant evidence = Instant.MIN;
+  private long question;
+  private Instant asked = Instant.MIN;
+  private final Set<String> vouchers = new HashSet<>();
+  private final Set<String> withdrawn = new HashSet<>();
 
   /** Takes part in elections; {@code listeners} are told of the outcome. */
   public ElectionActor(
@@ -118,6 +137,8 @@
     this.random = random;
     this.listeners = listeners;
     this.nonce = Long.toHexString(random.nextLong());
+    // An answer to a question of a former life must not pass for one to ours.
+    this.question = random.nextLong() >>> 1;
   }
 
   @Override
@@ -150,6 +171,8 @@
       heard(m);
     } else if (message instanceof PeerEnded m) {
       peerEnded(m.peer);
+    } else if (message instanceof Vouched m) {
+      vouched(m);
     } else if (message instanceof FirstLook m) {
       firstLook(m);
     } else if (message instanceof SecondLook m) {
@@ -333,6 +356,44 @@
     Instant sent = loop.clock().instant();
     state.extend(grant, reply -> tell(new Renewed(r, sent, reply)));
     loop.after(RENEW, () -> tell(new Renew(r)));
+    if (Duration.between(evidence, sent).compareTo(DOUBT) > 0) {
+      ask(sent);
+    }
+  }
+
+  /**
+   * While the state service does not answer, running work should keep its leases, but only as long
+   * as nobody else can lead. Whoever wins a newer term is one of the peers, and knows it before it
+   * acts on it; so if each of them, asked now, knows no newer term, none was acted on before now.
+   * The same goes for cancels: what users were told, one of the peers told them. A peer that has
+   * not read the state service since it started gives no word. Each word counts from when the
+   * question was sent, and extends a proof that still holds; one that has run out can only be
+   * renewed by the state service.
+   */
+  private void ask(Instant sent) {
+    asked = sent;
+    question++;
+    vouchers.clear();
+    withdrawn.clear();
+    listeners.forEach(l -> l.ask(question));
+  }
+
+  private void vouched(Vouched m) {
+    if (!leading || m.nonce != question) {
+      return;
+    }
+    if (m.term > term) {
+      stepDown("peer_has_higher_term");
+      return;
+    }
+    vouchers.add(m.peer);
+    withdrawn.addAll(m.withdrawn);
+    if (vouchers.size() > settings.peers().size() && asked.isAfter(evidence)) {
+      evidence = asked;
+      Set<String> jobs = Set.copyOf(withdrawn);
+      listeners.forEach(l -> l.vouched(evidence, jobs));
+      planExpiry();
+    }
   }
 
   private void renewed(Renewed m) {
--- a/src/main/java/io/pearscale/protocol/PeerMessage.java
+++ b/src/main/java/io/pearscale/protocol/PeerMessage.java
@@ -13,7 +13,7 @@
 /** What controllers say to each other, as {@code DataOutputStream} records. */
 public sealed interface PeerMessage {
   /** The record format; controllers of another version are not talked to. */
-  int VERSION = 1;
+  int VERSION = 2;
 
   /**
    * Sent all the time.
@@ -30,6 +30,17 @@
   /** The leader's answer to a forwarded report. */
   record ForwardedAnswer(long exchange, ReportAnswer answer) implements PeerMessage {}
 
+  /** The leader asks for a word that nothing has happened that it doesn't know. */
+  record Question(long nonce) implements PeerMessage {}
+
+  /**
+   * The word of a peer, as of after the question.
+   *
+   * @param term the highest term that it knows
+   * @param withdrawn the jobs of which it told somebody lately that they are cancelled
+   */
+  record Vouch(long nonce, long term, List<String> withdrawn) implements PeerMessage {}
+
   /** Task counts of jobs, for display. */
   record Counts(List<JobCount> jobs) implements PeerMessage {}
 
@@ -69,6 +80,17 @@
           out.writeInt(c.done);
           out.writeInt(c.running);
         }
+      } else if (message instanceof Question m) {
+        out.writeByte(5);
+        out.writeLong(m.nonce);
+      } else if (message instanceof Vouch m) {
+        out.writeByte(6);
+        out.writeLong(m.nonce);
+        out.writeLong(m.term);
+        out.writeInt(m.withdrawn.size());
+        for (String id : m.withdrawn) {
+          out.writeUTF(id);
+        }
       }
     } catch (IOException e) {
       throw new IllegalStateException("memory does not fail", e);
@@ -105,6 +127,16 @@
               }
               yield new Counts(jobs);
             }
+            case 5 -> new Question(in.readLong());
+            case 6 -> {
+              long nonce = in.readLong();
+              long term = in.readLong();
+              List<String> withdrawn = new ArrayList<>();
+              for (int n = count(in); n > 0; n--) {
+                withdrawn.add(in.readUTF());
+              }
+              yield new Vouch(nonce, term, withdrawn);
+            }
             default -> throw new Malformed("peer record of unknown kind");
           };
       if (in.read() >= 0) {
