--- a/src/main/java/io/pearscale/bookkeeping/Job.java
+++ b/src/main/java/io/pearscale/bookkeeping/Job.java
@@ -31,6 +31,9 @@
   Instant notBefore = Instant.MIN;
   boolean succeeded;
 
+  /** Whether the last pass found no place for one of its tasks. */
+  boolean noRoom;
+
   Job(JobSpec spec, long stamp, Instant submitted) {
     this.spec = spec;
     this.stamp = stamp;
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -73,6 +73,10 @@
   private static final Duration TICK = Duration.ofMillis(250);
   private static final Duration PASS_SPACING = Duration.ofMillis(30);
   private static final Duration COMMIT_SPACING = Duration.ofMillis(40);
+
+  /** Shares of room to keep are meant for a fleet of so many machines. */
+  private static final int SMALL_FLEET = 40;
+
   private static final int PROBES = 40;
   private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
   private static final Duration LEISURE = Duration.ofSeconds(4);
@@ -204,6 +208,7 @@
   private Instant nextFigures = Instant.MIN;
   private Instant nextMove = Instant.MIN;
   private boolean settledLogged;
+  private int moves;
   private int ticks;
 
   /** Questions under way to machines that are to show themselves. */
@@ -1079,6 +1084,7 @@
     boolean pressing = pressing(j, now);
     for (int i = j.nextPending(0); i >= 0; i = j.nextPending(i + 1)) {
       Optional<Placer.Choice> choice = placer.place(j, pressing);
+      j.noRoom = choice.isEmpty();
       if (choice.isEmpty()) {
         return;
       }
@@ -2033,21 +2039,33 @@
         places.merge(c, placesFor(c, m), Integer::sum);
       }
     }
-    double reserve = tuning.spareShare() * used;
+    // Of many machines a smaller part need be kept: what comes and goes varies by the square root.
+    double scale = Math.sqrt(Math.min(1, SMALL_FLEET / (double) Math.max(1, usable.size())));
+    double reserve = tuning.spareShare() * used * scale;
+    int most = 1 + usable.size() / SMALL_FLEET;
+    if (!now.isBefore(nextMove)) {
+      nextMove = now.plus(MOVE_SPACING);
+      moves = most;
+    }
     Set<Machine> rest = new LinkedHashSet<>(usable);
-    boolean emptied = false;
+    // Some tasks wait at any moment for the next pass; what counts is whether it finds room for
+    // them.
+    boolean lacking = queue.stream().anyMatch(j -> j.noRoom);
+    int emptied = 0;
+    int tried = 0;
+    Map<Machine, Machine.Room> rooms = new HashMap<>();
     for (Candidate c : candidates) {
       Machine m = c.machine;
       double after = free - m.type.cpus();
-      boolean room = queue.isEmpty() && after >= reserve && headroom.canLose(m);
+      boolean room = !lacking && after >= reserve && headroom.canLose(m);
       for (String jobClass : sizes.keySet()) {
         int lost = room ? placesFor(jobClass, m) : 0;
         room &= lost == 0 || places.get(jobClass) - lost >= large.get(jobClass);
       }
       int replicas = c.replicas;
       if (room && replicas > 0) {
-        room = !emptied && replicasFitInto(m, rest, now);
-        emptied = true;
+        room = emptied < most && tried++ < 3 * most && replicasFitInto(m, rest, rooms, now);
+        emptied += room ? 1 : 0;
       }
       if (!room) {
         m.spareSince = Instant.MAX;
@@ -2080,8 +2098,8 @@
   }
 
   /** Whether each replica of the machine could go to one of the others that has its image. */
-  private static boolean replicasFitInto(Machine m, Set<Machine> others, Instant now) {
-    Map<Machine, Machine.Room> rooms = new HashMap<>();
+  private static boolean replicasFitInto(
+      Machine m, Set<Machine> others, Map<Machine, Machine.Room> rooms, Instant now) {
     for (Placement p : m.placements.values()) {
       if (!p.job.spec.service()) {
         continue;
@@ -2091,7 +2109,9 @@
       }
       boolean placed = false;
       for (Machine o : others) {
-        if (Placer.mayMoveTo(p, o) && rooms.computeIfAbsent(o, Machine::room).fits(p.job)) {
+        if (o != m
+            && Placer.mayMoveTo(p, o)
+            && rooms.computeIfAbsent(o, Machine::room).fits(p.job)) {
           rooms.get(o).take(p.job);
           placed = true;
           break;
@@ -2104,14 +2124,14 @@
     return true;
   }
 
-  /** Moves a replica off a machine that is to be given back, one at a time and not too fast. */
+  /** Moves a replica off a machine that is to be given back, not too many at a time. */
   private void moveOne(Machine m, Instant now) {
-    if (now.isBefore(nextMove)) {
+    if (moves <= 0) {
       return;
     }
     for (Placement p : m.placements.values()) {
       if (p.job.spec.service() && !p.doomed) {
-        nextMove = now.plus(MOVE_SPACING);
+        moves--;
         log.info(
             "event=move term={} machine={} task={} attempt={}", term, m.name, p.task, p.attempt);
         doom(p);
