Weigh cached images three times, and let what has least left come first

Change: image-weight 1 to 3; jobs that are expected to be over within a fixed time come, within their priority, by what is left of them, growing older all the same; a batch job of which nothing has begun for 75 s gets one task started before others, critical ones excepted.

--- a/src/main/java/io/pearscale/bookkeeping/Job.java
+++ b/src/main/java/io/pearscale/bookkeeping/Job.java
@@ -31,6 +31,9 @@
   Instant notBefore = Instant.MIN;
   boolean succeeded;
 
+  /** Whether any of its tasks was seen running. */
+  boolean begun;
+
   /** Whether the last pass found no place for one of its tasks. */
   boolean noRoom;
 
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -77,6 +77,9 @@
   /** Shares of room to keep are meant for a fleet of so many machines. */
   private static final int SMALL_FLEET = 40;
 
+  /** A batch job of which nothing runs for so long gets a task started before others. */
+  private static final Duration LONG_WAIT = Duration.ofSeconds(75);
+
   private static final int PROBES = 40;
   private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
   private static final Duration LEISURE = Duration.ofSeconds(4);
@@ -755,6 +758,7 @@
           default -> Stage.RUNNING;
         };
     if (p.stage == Stage.RUNNING && before != Stage.RUNNING) {
+      p.job.begun = true;
       log.debug(
           "event=running term={} machine={} task={} attempt={} since_submit_ms={} since_start_ms={}",
           term,
@@ -1014,7 +1018,7 @@
 
   /** Waiting jobs, in the order in which they are decided. */
   private List<Job> waiting(Instant now) {
-    record Ranked(Job job, int lateness, Instant due) {}
+    record Ranked(Job job, int band, int lateness, Instant due) {}
     List<Ranked> ranked = new ArrayList<>();
     for (Job j : queue) {
       if (!now.isBefore(j.notBefore)) {
@@ -1025,11 +1029,16 @@
             j.spec.service() || !end.isAfter(due)
                 ? 0
                 : end.isAfter(j.submitted.plus(allowed.multipliedBy(3).dividedBy(2))) ? 2 : 1;
-        ranked.add(new Ranked(j, lateness, due));
+        boolean begins = begins(j, now);
+        // In the top band nothing goes before the order of the design; below it, what has waited
+        // for long without a single task running gets one of them started first.
+        int band = j.spec.priority() == Priority.CRITICAL ? 0 : begins ? 1 : 2;
+        ranked.add(new Ranked(j, band, begins ? 0 : lateness, order(j, due)));
       }
     }
     ranked.sort(
-        Comparator.comparing((Ranked r) -> r.job.spec.priority(), Comparator.reverseOrder())
+        Comparator.comparingInt((Ranked r) -> r.band)
+            .thenComparing(r -> r.job.spec.priority(), Comparator.reverseOrder())
             .thenComparing(r -> r.lateness)
             .thenComparing(r -> r.job.spec.service() ? r.job.submitted : r.due)
             .thenComparing(r -> r.job.spec.id()));
@@ -1038,6 +1047,32 @@
     return result;
   }
 
+  /** Whether no task of a batch job has begun in a time in which its users expect that. */
+  private static boolean begins(Job j, Instant now) {
+    return !j.spec.service()
+        && !j.begun
+        && j.done.isEmpty()
+        && now.isAfter(j.submitted.plus(LONG_WAIT))
+        && j.placed.isEmpty();
+  }
+
+  /**
+   * When a job's turn is, among others like it. Jobs that are expected to be over within a time
+   * that does not depend on their size come the earlier the less is left of them: so more of them
+   * are over in time than if each got a part. A large one comes later, but its turn comes.
+   */
+  private Instant order(Job j, Instant due) {
+    if (j.spec.deadline().isPresent()
+        || j.spec.service()
+        || !sizes.containsKey(j.spec.jobClass())) {
+      return due;
+    }
+    Duration allowed = Duration.between(j.submitted, due);
+    double left = j.spec.tasks() - j.done.cardinality();
+    double part = Math.min(1, 0.2 + left / Math.max(1, largeJob(j.spec.jobClass())));
+    return j.submitted.plusMillis((long) (allowed.toMillis() * part));
+  }
+
   /** Whether the class is expected to start within a time that leaves none for others to save. */
   private boolean startsAtOnce(JobSpec spec) {
     return settings.objectives().stream()
@@ -1082,6 +1117,7 @@
 
   private void place(Placer placer, Job j, Set<Machine> touched, Instant now) {
     boolean pressing = pressing(j, now);
+    boolean one = begins(j, now);
     for (int i = j.nextPending(0); i >= 0; i = j.nextPending(i + 1)) {
       Optional<Placer.Choice> choice = placer.place(j, pressing);
       j.noRoom = choice.isEmpty();
@@ -1121,6 +1157,9 @@
           j.spec.image(),
           m.images.containsKey(j.spec.image()));
       mark(p);
+      if (one) {
+        return;
+      }
     }
   }
 
--- a/src/main/java/io/pearscale/bookkeeping/Tuning.java
+++ b/src/main/java/io/pearscale/bookkeeping/Tuning.java
@@ -34,6 +34,6 @@
 
   /** The defaults. */
   public static Tuning defaults() {
-    return new Tuning(24, 1.0, 0.3, 0.1, 0.5, 1.0, 0.3, Duration.ofSeconds(30), 0.25, 0.05, 1.15);
+    return new Tuning(24, 1.0, 0.3, 0.1, 0.5, 3.0, 0.3, Duration.ofSeconds(30), 0.25, 0.05, 1.15);
   }
 }
