Take reports that a cut held back for what they are once a lease is over

A zone that had been cut off came back, and the reports that the cut had held back arrived: newer by number, of the session whose lease was over. Ten tasks that ran elsewhere by then were found a second time (task_twice), the machine counted as alive, and what really ran there was not known. Change: a machine that is lost has gone on to another session; messages of the old one are dropped, and it must show a token of this term again.

--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -1753,7 +1753,11 @@
     if (m.everReported && !m.lost && !m.renewed.equals(Instant.MIN) && leaseOver(m, now)) {
       // Silent for longer than any lease that was ever renewed: nothing can be alive there.
       m.lost = true;
-      m.settled = true;
+      // Its worker has gone on to another session, and has to show that, with our token: reports of
+      // this one that a cut had held back say only what was.
+      m.settled = false;
+      m.session++;
+      m.sequence = -1;
       m.ended.clear();
       m.foreign.clear();
       int dropped = m.placements.size();
