Clear a machine that has the image for a start that is due at once

Change: when the best place without victims would fetch for longer than the class may take to start, and a machine that was heard lately has the image, lower tasks there make way.

--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
 /**
@@ -47,7 +48,8 @@
   }
 
   /** Tasks that find victims in the same places; the zones are those that a spread leaves open. */
-  private record Hunt(Shape shape, String team, boolean service, List<String> zones) {}
+  private record Hunt(
+      Shape shape, String team, boolean service, List<String> zones, Optional<String> image) {}
 
   /** Where a task goes, and who has to leave for it. */
   record Choice(Machine machine, List<Placement> victims) {}
@@ -112,6 +114,8 @@
   private final Map<Shape, Map<String, Integer>> zoneRoom = new HashMap<>();
   private final Set<Hunt> barren = new HashSet<>();
   private final Map<String, Use> uses;
+  private final Function<JobSpec, Optional<Duration>> startWithin;
+  private final Instant heardSince;
   private final List<Machine> machines;
   private final Order open;
   private Optional<Order> all = Optional.empty();
@@ -124,6 +128,8 @@
    * @param waiting the jobs that the pass is for: machines without room for the smallest task of
    *     any of them are met only in search of victims
    * @param uses what each team may have on machines, all doubt counted as use
+   * @param startWithin in which time tasks like these are expected to start, if any
+   * @param heardSince machines heard since then are sure to be reached
    */
   Placer(
       Tuning tuning,
@@ -132,6 +138,8 @@
       List<Machine> machines,
       Collection<Job> waiting,
       Map<String, Use> uses,
+      Function<JobSpec, Optional<Duration>> startWithin,
+      Instant heardSince,
       Instant now) {
     this.now = now;
     this.tuning = tuning;
@@ -139,6 +147,8 @@
     this.teams = teams;
     this.machines = machines;
     this.uses = uses;
+    this.startWithin = startWithin;
+    this.heardSince = heardSince;
     double cpus = Double.MAX_VALUE;
     double memoryGb = Double.MAX_VALUE;
     for (Job j : waiting) {
@@ -229,17 +239,21 @@
       }
     }
     if (best != null) {
+      Optional<Choice> cached = mayStopOthers ? evictForImage(job, best) : Optional.empty();
+      if (cached.isPresent()) {
+        return cached;
+      }
       book(job, best);
       return Optional.of(new Choice(best, List.of()));
     }
     if (v.noVictims || !mayStopOthers) {
       return Optional.empty();
     }
-    Hunt hunt = new Hunt(Shape.of(job.spec), job.spec.team(), job.spec.service(), zonesLeft(job));
+    Hunt hunt = hunt(job, Optional.empty());
     if (barren.contains(hunt)) {
       return Optional.empty();
     }
-    Optional<Choice> byEviction = evict(job);
+    Optional<Choice> byEviction = evict(job, Optional.empty());
     if (byEviction.isEmpty()) {
       byEviction = makeWay(job);
     }
@@ -253,6 +267,41 @@
     return byEviction;
   }
 
+  /** Whether a kill would be carried out at once: a start that waits for it has no time to lose. */
+  private boolean prompt(Machine m) {
+    return m.heard.isAfter(heardSince) && !now.isBefore(m.directAfter);
+  }
+
+  private Hunt hunt(Job job, Optional<String> image) {
+    JobSpec s = job.spec;
+    return new Hunt(Shape.of(s), s.team(), s.service(), zonesLeft(job), image);
+  }
+
+  /**
+   * A place without victims does not win if the image would have to be fetched there for longer
+   * than the class is expected to start in, and another machine has it: a few low tasks are done
+   * again, where else the start would be late for certain.
+   */
+  private Optional<Choice> evictForImage(Job job, Machine free) {
+    JobSpec s = job.spec;
+    Optional<Duration> within = startWithin.apply(s);
+    double fetch = s.imageGb() / Math.max(1e-3, free.type.fetchGbPerSecond());
+    if (within.isEmpty()
+        || free.images.containsKey(s.image())
+        || fetch <= Fields.seconds(within.get())) {
+      return Optional.empty();
+    }
+    Hunt hunt = hunt(job, Optional.of(s.image()));
+    if (barren.contains(hunt)) {
+      return Optional.empty();
+    }
+    Optional<Choice> choice = evict(job, Optional.of(s.image()));
+    if (choice.isEmpty()) {
+      barren.add(hunt);
+    }
+    return choice;
+  }
+
   private void book(Job job, Machine m) {
     room(m).take(job);
     Use u = use(job.spec.team());
@@ -354,7 +403,8 @@
     return free;
   }
 
-  private Optional<Choice> evict(Job job) {
+  /** Looks for victims, on machines that have the image if one is given. */
+  private Optional<Choice> evict(Job job, Optional<String> image) {
     boolean guaranteed = !beyondGuarantee(job.spec.team(), job.spec.cpus(), job.spec.gpus());
     Choice best = null;
     Order order = all();
@@ -366,6 +416,7 @@
       Machine m = order.get(start, i);
       if (!job.spec.allows(m.type, m.zone, m.spot)
           || !allowedNow(job, m)
+          || (image.isPresent() && !(m.images.containsKey(image.get()) && prompt(m)))
           || (!guaranteed && !m.roomAbove(job.spec.priority()).fits(job))) {
         continue;
       }
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -1073,10 +1073,17 @@
     return j.submitted.plusMillis((long) (allowed.toMillis() * part));
   }
 
+  /** In which time tasks of the class are expected to start. */
+  private Optional<Duration> startWithin(JobSpec spec) {
+    return settings.objectives().stream()
+        .filter(o -> o.kind().equals("wait") && o.jobClass().equals(spec.jobClass()))
+        .map(Objective::within)
+        .findFirst();
+  }
+
   /** Whether the class is expected to start within a time that leaves none for others to save. */
   private boolean startsAtOnce(JobSpec spec) {
-    return settings.objectives().stream()
-        .anyMatch(o -> o.kind().equals("wait") && o.jobClass().equals(spec.jobClass()));
+    return startWithin(spec).isPresent();
   }
 
   /**
@@ -1103,7 +1110,10 @@
           usable.add(m);
         }
       }
-      Placer placer = new Placer(tuning, random, teams, usable, waiting, uses(), now);
+      Instant heardSince = now.minus(settings.workers().report().multipliedBy(11).dividedBy(10));
+      Placer placer =
+          new Placer(
+              tuning, random, teams, usable, waiting, uses(), this::startWithin, heardSince, now);
       Set<Machine> touched = new LinkedHashSet<>();
       for (Job j : waiting) {
         place(placer, j, touched, now);
