--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -5,6 +5,7 @@
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.Settings;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -27,6 +28,11 @@
 
   /** Plays the text; returns what went wrong, with the log of what happened. */
   static List<String> play(String text, long seed) {
+    return of(text, seed).run();
+  }
+
+  /** The world in which the text is played. */
+  static Scenario of(String text, long seed) {
     Scenario s = new Scenario(seed);
     for (String line : text.split("\n")) {
       String clean = line.replaceAll("#.*", "").strip();
@@ -34,14 +40,19 @@
         s.line(clean);
       }
     }
-    return s.run();
+    return s;
   }
 
-  private List<String> run() {
+  World world() {
+    return world;
+  }
+
+  List<String> run() {
     world.nodes.values().forEach(SimNode::start);
     world.audit();
     world.playTo(until);
     expectations.forEach(Runnable::run);
+    world.endOfDay();
     failures.addAll(world.broken);
     if (!failures.isEmpty()) {
       failures.addAll(world.log);
@@ -96,7 +107,13 @@
       case "until" -> until = seconds(w.get(1));
       case "at" -> {
         List<String> rest = w.subList(2, w.size());
-        world.at(world.now.plus(seconds(w.get(1))), () -> act(rest));
+        Instant when = world.now.plus(seconds(w.get(1)));
+        world.at(when, () -> act(rest));
+        boolean trouble =
+            !List.of("submit", "resubmit", "cancel", "call", "check").contains(rest.get(0));
+        if (trouble && when.isAfter(world.troublesOver)) {
+          world.troublesOver = when;
+        }
       }
       case "expect" -> expectations.add(() -> expect(w.subList(1, w.size()), line));
       default -> throw new IllegalArgumentException("scenario: " + line);
--- a/src/test/java/io/pearscale/sim/SimNode.java
+++ b/src/test/java/io/pearscale/sim/SimNode.java
@@ -95,6 +95,7 @@
         return false;
       }
       SimNode to = world.nodes.get(peer);
+      world.records++;
       world.carry(name, peer, () -> to.fromPeer(name, frame));
       return true;
     }
--- a/src/test/java/io/pearscale/sim/SimState.java
+++ b/src/test/java/io/pearscale/sim/SimState.java
@@ -31,6 +31,11 @@
   private final List<Watch> watches = new ArrayList<>();
   private long epoch;
   private long claims;
+
+  /** Puts and deletes of all that were applied, and requests of any kind. */
+  long writes;
+
+  long requests;
   boolean down;
   final Set<String> refuses = new HashSet<>();
 
@@ -54,6 +59,7 @@
   }
 
   void serve(String from, String method, String path, JsonNode body, Consumer<Reply> answer) {
+    requests++;
     if (path.startsWith("/watch")) {
       watch(from, path, answer);
       return;
@@ -190,6 +196,7 @@
     }
     epoch++;
     for (JsonNode c : body.path("then")) {
+      writes++;
       if (c.hasNonNull("write")) {
         String key = c.path("write").asText();
         pairs.put(key, new Pair(c.path("value"), epoch, c.path("claim").asLong(0)));
--- a/src/test/java/io/pearscale/sim/SimUser.java
+++ b/src/test/java/io/pearscale/sim/SimUser.java
@@ -12,10 +12,14 @@
 
 /** The user of one job: submits, polls, maybe cancels, and holds the service to its answers. */
 final class SimUser {
+  private static final Duration KNOWN = Duration.ofSeconds(75);
+
   private final World world;
   final JobSpec spec;
   final Duration run;
   boolean accepted;
+  Instant acceptedAt;
+  private Instant answered;
   Instant cancelledAt;
   private boolean cancelAsked;
   String stage = "";
@@ -48,6 +52,10 @@
             if (!accepted) {
               world.note("user: " + spec.id() + " accepted");
             }
+            if (!accepted) {
+              acceptedAt = world.now;
+              answered = world.now;
+            }
             accepted = true;
             heard(r.body().path("stage").asText(), asked);
             if (!polling) {
@@ -120,9 +128,14 @@
         r -> {
           if (r.status() == 200) {
             heard(r.body().path("stage").asText(), asked);
+            answered = world.now;
           } else if (r.status() == 404) {
             world.breaks("forgotten", spec.id() + " answered 404");
           }
+          Instant since = answered.isAfter(world.troublesOver) ? answered : world.troublesOver;
+          if (world.now.isAfter(since.plus(KNOWN))) {
+            world.breaks("forgotten", spec.id() + " not answered since " + answered);
+          }
           world.after(Duration.ofSeconds(3), this::poll);
         });
   }
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -40,6 +40,18 @@
   Instant now = START;
   final RandomGenerator random;
   final List<String> broken = new ArrayList<>();
+
+  /** Records between controllers, and commands straight to workers. */
+  long records;
+
+  long commands;
+
+  /** From then on users expect answers, and jobs to begin. */
+  Instant troublesOver = START;
+
+  /** When a task of a job was first started. */
+  final Map<String, Instant> begun = new HashMap<>();
+
   final List<String> log = new ArrayList<>();
 
   final SimState state = new SimState(this);
@@ -186,6 +198,7 @@
         };
     after(timeout, () -> once.accept(Reply.NONE));
     JsonNode copy = body.deepCopy();
+    commands += path.equals("/do") ? 1 : 0;
     if (copies.getOrDefault(from, 0) > 0) {
       copies.merge(from, -1, Integer::sum);
       String later = randomHealthyNode().map(n -> n.name).orElse(to);
@@ -285,6 +298,7 @@
       breaks("ran_cancelled", task + " starts");
     }
     starts.merge(task.job(), 1, Integer::sum);
+    begun.putIfAbsent(task.job(), now);
     present.add(new Presence(w, task, attempt));
   }
 
@@ -292,6 +306,19 @@
     present.removeIf(p -> p.worker == w && p.task.equals(task) && p.attempt == attempt);
   }
 
+  /** What users check at the end of a day, beside the rules. */
+  void endOfDay() {
+    Duration begin = Duration.ofMinutes(4);
+    for (SimUser u : users.values()) {
+      Instant expected = u.acceptedAt == null ? now : u.acceptedAt;
+      expected = (expected.isAfter(troublesOver) ? expected : troublesOver).plus(begin);
+      Instant began = begun.getOrDefault(u.spec.id(), now);
+      if (u.accepted && !u.over() && began.isAfter(expected)) {
+        breaks("begins_late", u.spec.id());
+      }
+    }
+  }
+
   /** Called every second. */
   void audit() {
     for (Presence p : present) {
