Replace replicas of a zone that is cut off before a lease from the takeover

The zone's leases are over at 169 s, but its successor can only know that at 192 s, hold and a lease after its election; deleting silent machines was allowed for a sixth of the fleet at most. Change: while most machines are heard, a silent one that holds replicas is deleted after 0.7 of a lease also when many are silent. Others wait for the lease: they cost only work that is done again.

--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -147,6 +147,9 @@
       List<String> dropped,
       boolean catalogue) {}
 
+  /** Whether few machines are silent, and whether it is not most of them. */
+  private record Silence(boolean few, boolean minority) {}
+
   /** Marks of a job are kept in parts. */
   private record Part(Job job, int part) {}
 
@@ -217,7 +220,7 @@
   /** Questions under way to machines that are to show themselves. */
   private int probing;
 
-  private Optional<Boolean> fewSilent = Optional.empty();
+  private Optional<Silence> silence = Optional.empty();
   private Duration lastPass = Duration.ZERO;
   private final Map<String, Job> samples = new HashMap<>();
   private final Map<String, ArrayDeque<Integer>> sizes = new HashMap<>();
@@ -1686,7 +1689,7 @@
       return;
     }
     Instant now = now();
-    fewSilent = Optional.empty();
+    silence = Optional.empty();
     // A large fleet is looked after in slices, each machine once a second at the latest.
     int slices = Math.min(4, 1 + machines.size() / 100);
     int i = ++ticks;
@@ -1796,8 +1799,10 @@
     }
     // Replicas on a machine that is merely cut off still count and may serve; they are replaced
     // shortly before their lease would end. Other work is done again, the sooner the better.
+    boolean serves = replicas(m) > 0;
+    boolean few = silence(now).few;
     Duration patience =
-        m.settled && replicas(m) > 0
+        serves && (m.settled || !few)
             ? settings.workers().lease().multipliedBy(7).dividedBy(10)
             : silentAfter();
     boolean deaf =
@@ -1806,7 +1811,7 @@
             && m.missedProbes >= 2
             && silence.compareTo(patience) > 0
             && (!m.placements.isEmpty() || !m.settled)
-            && fewAreSilent(now);
+            && (few || (serves && silence(now).minority));
     if (!m.faulty && m.takenAt.isEmpty() && m.life == Life.UP) {
       if (now.isAfter(m.heard.plus(settings.workers().report().multipliedBy(4)))) {
         unplan(m);
@@ -1842,16 +1847,18 @@
 
   /**
    * Deleting a silent machine proves it empty sooner than waiting for its lease. That is only worth
-   * it, and only believable, while nearly all others are heard: else it is we who are cut off.
+   * it, and only believable, while nearly all others are heard: else it is we who are cut off. When
+   * a whole zone is silent and most machines are heard, those that hold replicas are worth it: a
+   * new leader would otherwise wait for a lease from its own election on, while nothing serves.
    */
-  private boolean fewAreSilent(Instant now) {
-    if (fewSilent.isEmpty()) {
-      fewSilent = Optional.of(countSilent(now));
+  private Silence silence(Instant now) {
+    if (silence.isEmpty()) {
+      silence = Optional.of(countSilent(now));
     }
-    return fewSilent.get();
+    return silence.get();
   }
 
-  private boolean countSilent(Instant now) {
+  private Silence countSilent(Instant now) {
     int up = 0;
     int silent = 0;
     Instant limit = now.minus(silentAfter());
@@ -1863,7 +1870,7 @@
         }
       }
     }
-    return silent <= Math.max(2, up / 6) && silent * 2 < up;
+    return new Silence(silent <= Math.max(2, up / 6) && silent * 2 < up, silent * 2 < up);
   }
 
   /** Takes back what was decided for a machine that turned bad before the start was sent. */
