--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -216,7 +216,7 @@
     for (Machine m : v.found) {
       if (allowedNow(job, m)) {
         usable++;
-        double s = score(job, m, mayStopOthers);
+        double s = score(job, m);
         if (s < bestScore) {
           bestScore = s;
           best = m;
@@ -231,7 +231,7 @@
       v.found.add(m);
       if (allowedNow(job, m)) {
         usable++;
-        double s = score(job, m, mayStopOthers);
+        double s = score(job, m);
         if (s < bestScore) {
           bestScore = s;
           best = m;
@@ -339,7 +339,7 @@
     return true;
   }
 
-  private double score(Job job, Machine m, boolean pressing) {
+  private double score(Job job, Machine m) {
     Room r = room(m);
     JobSpec s = job.spec;
     double stranded = (r.cpus - s.cpus()) / Math.max(1e-9, m.type.cpus());
@@ -359,10 +359,7 @@
         + tuning.sameZoneWeight() * inZone / Math.max(1, s.tasks())
         + tuning.zoneBalanceWeight() * crowding(job, m.zone)
         - (m.images.containsKey(s.image()) ? tuning.imageWeight() * fetchShare(job, m) : 0)
-        // What has time goes to spot machines, which cost less; what is pressed can't afford to
-        // lose
-        // one.
-        + (s.spot() && m.spot == pressing ? tuning.ordinaryWeight() : 0)
+        + (s.spot() && !m.spot ? tuning.ordinaryWeight() : 0)
         // A machine that just missed a direct command gets its starts by report only, which is
         // slow.
         + (now.isBefore(m.directAfter) ? tuning.imageWeight() : 0);
