Take renting and giving back, and what is known of classes, out of the scheduler

Fleet decides what to rent, empty and give back, and says so in a plan that the leader carries out; JobClasses knows what is expected of a class and what its jobs were like.

--- /dev/null
+++ b/src/main/java/io/pearscale/bookkeeping/Fleet.java
@@ -0,0 +1,295 @@
+package io.pearscale.bookkeeping;
+
+import io.pearscale.bookkeeping.Machine.Life;
+import io.pearscale.bookkeeping.Placement.Stage;
+import io.pearscale.bookkeeping.Renter.Kind;
+import io.pearscale.protocol.MachineType;
+import io.pearscale.protocol.Priority;
+import io.pearscale.protocol.Settings.Team;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * Decides what to rent, which machines to empty and which to give back, from what waits, runs and
+ * is on its way. It only says what to do; the leader does it.
+ */
+final class Fleet {
+  private static final Duration MOVE_SPACING = Duration.ofSeconds(3);
+
+  /** Shares of room to keep are meant for a fleet of so many machines. */
+  private static final int SMALL_FLEET = 40;
+
+  /**
+   * What the leader knows.
+   *
+   * @param usable which machines may take tasks now
+   * @param waiting jobs with tasks that wait, in the order in which they are decided
+   * @param uses what each team has in use
+   * @param mayGiveBack whether it is known where all tasks are, and can be written what is decided
+   */
+  record View(
+      Collection<Machine> machines,
+      Predicate<Machine> usable,
+      Collection<Job> jobs,
+      List<Job> waiting,
+      Map<String, Placer.Use> uses,
+      Collection<MachineType> types,
+      boolean mayGiveBack) {}
+
+  /** What is to be done: rented, given back, and moved off machines that are to be empty. */
+  record Plan(Map<Kind, Integer> hires, List<Machine> giveBack, List<Placement> moves) {}
+
+  private final Tuning tuning;
+  private final Map<String, Team> teams;
+  private final JobClasses classes;
+  private Renter renter;
+  private Instant nextMove = Instant.MIN;
+  private int moves;
+
+  Fleet(Tuning tuning, Map<String, Team> teams, JobClasses classes) {
+    this.tuning = tuning;
+    this.teams = teams;
+    this.classes = classes;
+    this.renter = new Renter(tuning);
+  }
+
+  /** Begins a term: what was asked for under another is not ours. */
+  void begin() {
+    renter = new Renter(tuning);
+  }
+
+  /** Is to be told of what the cloud grants and refuses. */
+  Renter renter() {
+    return renter;
+  }
+
+  /** What to do now. */
+  Plan plan(View v, Instant now) {
+    List<Machine> coming = new ArrayList<>();
+    List<Machine> usable = new ArrayList<>();
+    for (Machine m : v.machines) {
+      if (m.life == Life.BOOTING && now.isBefore(m.rented.plus(Renter.patience(m.type)))) {
+        coming.add(m);
+      } else if (v.usable.test(m)) {
+        usable.add(m);
+      }
+    }
+    Headroom headroom = headroom(v, usable);
+    List<Renter.Demand> demands = demands(v);
+    demands.addAll(headroom.demands());
+    Map<Kind, Integer> hires = renter.plan(demands, coming, v.types, v.machines.size(), now);
+    // Until the cloud has answered, a kind is not asked for again.
+    hires.forEach((kind, n) -> renter.noteAsked(kind, n, now));
+    Plan plan = new Plan(hires, new ArrayList<>(), new ArrayList<>());
+    if (v.mayGiveBack) {
+      // Some tasks wait at any moment for the next pass; what counts is whether it finds room.
+      spare(usable, v.waiting.stream().anyMatch(j -> j.noRoom), headroom, plan, now);
+    }
+    return plan;
+  }
+
+  /** What waits for room. */
+  private List<Renter.Demand> demands(View v) {
+    // Like tasks are asked for as one.
+    Map<Like, Renter.Demand> demands = new LinkedHashMap<>();
+    Map<String, Placer.Use> uses = v.uses;
+    for (Job j : v.waiting) {
+      // What the team's limit keeps waiting would wait on rented machines as well.
+      int tasks = Math.min(j.pending(), Placer.leftWithinLimit(teams, uses, j.spec));
+      if (tasks == 0) {
+        continue;
+      }
+      Placer.charge(uses, j.spec, tasks);
+      if (j.spec.spread()) {
+        // Each zone may take its part only.
+        int left = tasks;
+        for (String zone : zones(v)) {
+          int n = Math.min(left, j.spec.perZone() - j.inZone(zone));
+          if (n > 0) {
+            demand(demands, j, n, Optional.of(zone));
+            left -= n;
+          }
+        }
+      } else {
+        demand(demands, j, tasks, Optional.empty());
+      }
+    }
+    return new ArrayList<>(demands.values());
+  }
+
+  private record Like(Placer.Shape shape, Optional<String> zone) {}
+
+  private static void demand(
+      Map<Like, Renter.Demand> demands, Job j, int tasks, Optional<String> zone) {
+    demands.merge(
+        new Like(Placer.Shape.of(j.spec), zone),
+        new Renter.Demand(j, tasks, zone),
+        (a, b) -> new Renter.Demand(a.job(), a.tasks() + b.tasks(), zone));
+  }
+
+  /** All zones of the catalogue. */
+  private static Set<String> zones(View v) {
+    Set<String> zones = new LinkedHashSet<>();
+    v.types.forEach(t -> zones.addAll(t.zones()));
+    return zones;
+  }
+
+  /** Room to keep for classes that are expected to start at once. */
+  private Headroom headroom(View v, List<Machine> usable) {
+    Map<String, Integer> running = new HashMap<>();
+    for (Job j : v.jobs) {
+      if (classes.startsAtOnce(j.spec)) {
+        running.merge(j.spec.jobClass(), j.placed.size(), Integer::sum);
+      }
+    }
+    Set<String> zones = zones(v);
+    List<Headroom.Want> wants = new ArrayList<>();
+    for (String c : classes.startingAtOnce()) {
+      Optional<Job> sample = classes.sample(c);
+      if (sample.isPresent()) {
+        int want = 2 + (int) Math.ceil(tuning.headroomShare() * running.getOrDefault(c, 0));
+        int each = (want + zones.size() - 1) / Math.max(1, zones.size());
+        wants.add(new Headroom.Want(sample.get(), each));
+      }
+    }
+    return new Headroom(wants, zones, usable);
+  }
+
+  /** How many tasks of a class with a time to keep have room on the machine now. */
+  private int placesFor(String jobClass, Machine m) {
+    return classes
+        .sample(jobClass)
+        .filter(j -> j.spec.allows(m.type, m.zone, m.spot))
+        .map(j -> m.room().count(j))
+        .orElse(0);
+  }
+
+  /**
+   * Finds machines that can be spared, the dearest first: what they run would fit elsewhere, with
+   * room to spare for what may come. Such machines are met last by new tasks, run empty, and are
+   * given back.
+   */
+  private void spare(
+      List<Machine> usable, boolean lacking, Headroom headroom, Plan plan, Instant now) {
+    record Candidate(Machine machine, int replicas, double price, double used) {}
+    List<Candidate> candidates = new ArrayList<>();
+    double free = 0;
+    double used = 0;
+    for (Machine m : usable) {
+      double mine = m.type.cpus() - m.roomAbove(Priority.IDLE).cpus;
+      double price = m.type.price(m.spot) / Math.max(1e-9, m.type.cpus());
+      candidates.add(new Candidate(m, m.replicas(), price, mine));
+      used += mine;
+      free += m.type.cpus() - mine;
+    }
+    // Without replicas first, since those have to be moved; then the dearest and the emptiest.
+    candidates.sort(
+        Comparator.comparingInt(Candidate::replicas)
+            .thenComparing(Candidate::price, Comparator.reverseOrder())
+            .thenComparingDouble(Candidate::used)
+            .thenComparing(c -> c.machine.name));
+    Map<String, Integer> places = new HashMap<>();
+    Map<String, Integer> large = new HashMap<>();
+    for (String c : classes.sized()) {
+      large.put(c, classes.largeJob(c));
+      for (Machine m : usable) {
+        places.merge(c, placesFor(c, m), Integer::sum);
+      }
+    }
+    // Of many machines a smaller part need be kept: what comes and goes varies by the square root.
+    double scale = Math.sqrt(Math.min(1, SMALL_FLEET / (double) Math.max(1, usable.size())));
+    double reserve = tuning.spareShare() * used * scale;
+    int most = 1 + usable.size() / SMALL_FLEET;
+    if (!now.isBefore(nextMove)) {
+      nextMove = now.plus(MOVE_SPACING);
+      moves = most;
+    }
+    Set<Machine> rest = new LinkedHashSet<>(usable);
+    int emptied = 0;
+    int tried = 0;
+    Map<Machine, Machine.Room> rooms = new HashMap<>();
+    for (Candidate c : candidates) {
+      Machine m = c.machine;
+      double after = free - m.type.cpus();
+      boolean room = !lacking && after >= reserve && headroom.canLose(m);
+      for (String jobClass : classes.sized()) {
+        int lost = room ? placesFor(jobClass, m) : 0;
+        room &= lost == 0 || places.get(jobClass) - lost >= large.get(jobClass);
+      }
+      int replicas = c.replicas;
+      if (room && replicas > 0) {
+        room = emptied < most && tried++ < 3 * most && replicasFitInto(m, rest, rooms, now);
+        emptied += room ? 1 : 0;
+      }
+      if (!room) {
+        m.spareSince = Instant.MAX;
+        continue;
+      }
+      free = after;
+      rest.remove(m);
+      headroom.lose(m);
+      classes.sized().forEach(k -> places.merge(k, -placesFor(k, m), Integer::sum));
+      if (m.spareSince.equals(Instant.MAX)) {
+        m.spareSince = now;
+      }
+      boolean due = now.isAfter(m.spareSince.plus(tuning.idleRelease()));
+      if (due && replicas > 0) {
+        moveOne(m, plan);
+      } else if (due && m.placements.isEmpty() && now.isAfter(m.rented.plusSeconds(60))) {
+        plan.giveBack.add(m);
+      }
+    }
+  }
+
+  /** Whether each replica of the machine could go to one of the others that has its image. */
+  private static boolean replicasFitInto(
+      Machine m, Set<Machine> others, Map<Machine, Machine.Room> rooms, Instant now) {
+    for (Placement p : m.placements.values()) {
+      if (!p.job.spec.service()) {
+        continue;
+      }
+      if (p.stage != Stage.RUNNING || p.since.isAfter(now.minus(Placer.SETTLED))) {
+        return false;
+      }
+      boolean placed = false;
+      for (Machine o : others) {
+        if (o != m
+            && Placer.mayMoveTo(p, o)
+            && rooms.computeIfAbsent(o, Machine::room).fits(p.job)) {
+          rooms.get(o).take(p.job);
+          placed = true;
+          break;
+        }
+      }
+      if (!placed) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Moves a replica off a machine that is to be given back, not too many at a time. */
+  private void moveOne(Machine m, Plan plan) {
+    if (moves <= 0) {
+      return;
+    }
+    for (Placement p : m.placements.values()) {
+      if (p.job.spec.service() && !p.doomed) {
+        moves--;
+        plan.moves.add(p);
+        return;
+      }
+    }
+  }
+}
--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -190,6 +190,17 @@
     return roomAbove(like.spec.priority()).count(like);
   }
 
+  /** Tasks of services here. */
+  int replicas() {
+    int n = 0;
+    for (Placement p : placements.values()) {
+      if (p.job.spec.service()) {
+        n++;
+      }
+    }
+    return n;
+  }
+
   boolean inDoubt() {
     return doubtToken >= seenToken;
   }
--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -186,6 +186,13 @@
     return (int) Math.max(0, Math.min(n, s.tasks()));
   }
 
+  /** Notes so many more tasks as in use. */
+  static void charge(Map<String, Use> uses, JobSpec s, int n) {
+    Use u = uses.computeIfAbsent(s.team(), k -> new Use());
+    u.cpus += n * s.cpus();
+    u.gpus += n * s.gpus();
+  }
+
   private static double left(double limit, double used, double each) {
     double room = limit - used + 1e-6;
     if (limit <= 0 || (each <= 0 && room >= 0)) {
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -6,7 +6,6 @@
 import io.pearscale.bookkeeping.Machine.Ended;
 import io.pearscale.bookkeeping.Machine.Life;
 import io.pearscale.bookkeeping.Placement.Stage;
-import io.pearscale.bookkeeping.Renter.Kind;
 import io.pearscale.protocol.Fields;
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.MachineType;
@@ -74,9 +73,6 @@
   private static final Duration PASS_SPACING = Duration.ofMillis(30);
   private static final Duration COMMIT_SPACING = Duration.ofMillis(40);
 
-  /** Shares of room to keep are meant for a fleet of so many machines. */
-  private static final int SMALL_FLEET = 40;
-
   /** A batch job of which nothing runs for so long gets a task started before others. */
   private static final Duration LONG_WAIT = Duration.ofSeconds(75);
 
@@ -88,7 +84,6 @@
   private static final Duration REPEAT = Duration.ofSeconds(2);
   private static final Duration DIRECT_PAUSE = Duration.ofSeconds(3);
   private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(6);
-  private static final Duration MOVE_SPACING = Duration.ofSeconds(3);
 
   /** What the actor understands. */
   public sealed interface Message {}
@@ -201,7 +196,8 @@
   private final Set<Job> finishing = new LinkedHashSet<>();
   private final Set<String> garbage = new LinkedHashSet<>();
   private final Map<String, Integer> knownCounts = new HashMap<>();
-  private Renter renter;
+  private final JobClasses classes;
+  private final Fleet fleet;
   private boolean catalogueDirty;
   private boolean committing;
   private boolean beat;
@@ -212,9 +208,7 @@
   private Instant nextRent = Instant.MIN;
   private Instant nextCounts = Instant.MIN;
   private Instant nextFigures = Instant.MIN;
-  private Instant nextMove = Instant.MIN;
   private boolean settledLogged;
-  private int moves;
   private int ticks;
 
   /** Questions under way to machines that are to show themselves. */
@@ -222,8 +216,6 @@
 
   private Optional<Silence> silence = Optional.empty();
   private Duration lastPass = Duration.ZERO;
-  private final Map<String, Job> samples = new HashMap<>();
-  private final Map<String, ArrayDeque<Integer>> sizes = new HashMap<>();
   private final Histogram startMillis = new Histogram(3);
   private final Histogram passMicros = new Histogram(3);
 
@@ -253,7 +245,8 @@
     this.higherTerm = higherTerm;
     this.counts = counts;
     this.cloud = new CloudActor(loop, calls, settings, e -> tell(new CloudSaid(e)));
-    this.renter = new Renter(tuning);
+    this.classes = new JobClasses(settings.objectives());
+    this.fleet = new Fleet(tuning, teams, classes);
     newBooks();
     settings.teams().forEach(t -> teams.put(t.name(), t));
   }
@@ -376,7 +369,7 @@
       }
       Job job = new Job(spec, e.stamp(), now().minus(age));
       jobs.put(spec.id(), job);
-      noteSize(spec, job);
+      classes.note(job);
       requeue(job);
     } catch (Malformed x) {
       log.error("event=stored_job_unreadable reason={}", x.getMessage());
@@ -440,7 +433,7 @@
     passPlanned = false;
     settledLogged = false;
     probing = 0;
-    renter = new Renter(tuning);
+    fleet.begin();
     cloud.tell(new CloudActor.Lead(term));
     long t = term;
     loop.after(TICK, () -> tell(new Tick(t)));
@@ -558,7 +551,8 @@
 
   /** Notes when all machines that could hold what a former leader started have spoken. */
   private void noteRebuilt() {
-    if (settledLogged || machines.values().stream().anyMatch(m -> !m.settled && m.recorded)) {
+    if (settledLogged
+        || machines.values().stream().anyMatch(m -> !m.settled && m.recorded)) {
       return;
     }
     settledLogged = true;
@@ -994,18 +988,12 @@
     }
     for (Machine m : machines.values()) {
       for (Placement p : m.placements.values()) {
-        charge(uses, p.job.spec, 1);
+        Placer.charge(uses, p.job.spec, 1);
       }
     }
     return uses;
   }
 
-  private static void charge(Map<String, Placer.Use> uses, JobSpec s, int n) {
-    Placer.Use u = uses.computeIfAbsent(s.team(), k -> new Placer.Use());
-    u.cpus += n * s.cpus();
-    u.gpus += n * s.gpus();
-  }
-
   /** When a job should be over: its own deadline, or what its class is expected to keep. */
   private Instant due(Job j) {
     if (j.spec.deadline().isPresent()) {
@@ -1065,30 +1053,15 @@
    * are over in time than if each got a part. A large one comes later, but its turn comes.
    */
   private Instant order(Job j, Instant due) {
-    if (j.spec.deadline().isPresent()
-        || j.spec.service()
-        || !sizes.containsKey(j.spec.jobClass())) {
+    if (j.spec.deadline().isPresent() || j.spec.service() || !classes.sized(j.spec.jobClass())) {
       return due;
     }
     Duration allowed = Duration.between(j.submitted, due);
     double left = j.spec.tasks() - j.done.cardinality();
-    double part = Math.min(1, 0.2 + left / Math.max(1, largeJob(j.spec.jobClass())));
+    double part = Math.min(1, 0.2 + left / Math.max(1, classes.largeJob(j.spec.jobClass())));
     return j.submitted.plusMillis((long) (allowed.toMillis() * part));
   }
 
-  /** In which time tasks of the class are expected to start. */
-  private Optional<Duration> startWithin(JobSpec spec) {
-    return settings.objectives().stream()
-        .filter(o -> o.kind().equals("wait") && o.jobClass().equals(spec.jobClass()))
-        .map(Objective::within)
-        .findFirst();
-  }
-
-  /** Whether the class is expected to start within a time that leaves none for others to save. */
-  private boolean startsAtOnce(JobSpec spec) {
-    return startWithin(spec).isPresent();
-  }
-
   /**
    * Whether the job can't wait for room to become free by itself. Work with a deadline stops others
    * only when waiting longer would put the deadline at risk, since what it stops is done again.
@@ -1116,7 +1089,15 @@
       Instant heardSince = now.minus(settings.workers().report().multipliedBy(11).dividedBy(10));
       Placer placer =
           new Placer(
-              tuning, random, teams, usable, waiting, uses(), this::startWithin, heardSince, now);
+              tuning,
+              random,
+              teams,
+              usable,
+              waiting,
+              uses(),
+              classes::startWithin,
+              heardSince,
+              now);
       Set<Machine> touched = new LinkedHashSet<>();
       for (Job j : waiting) {
         place(placer, j, touched, now);
@@ -1147,7 +1128,7 @@
             victim.attempt,
             j.spec.id(),
             i);
-        victim.hurried = startsAtOnce(j.spec);
+        victim.hurried = classes.startsAtOnce(j.spec);
         doom(victim);
         touched.add(m);
       }
@@ -1799,7 +1780,7 @@
     }
     // Replicas on a machine that is merely cut off still count and may serve; they are replaced
     // shortly before their lease would end. Other work is done again, the sooner the better.
-    boolean serves = replicas(m) > 0;
+    boolean serves = m.replicas() > 0;
     boolean few = silence(now).few;
     Duration patience =
         serves && (m.settled || !few)
@@ -1937,268 +1918,42 @@
     if (types.isEmpty()) {
       return;
     }
-    List<Machine> coming = new ArrayList<>();
-    List<Machine> usable = new ArrayList<>();
-    for (Machine m : machines.values()) {
-      if (m.life == Life.BOOTING && now.isBefore(m.rented.plus(Renter.patience(m.type)))) {
-        coming.add(m);
-      } else if (placeable(m, now)) {
-        usable.add(m);
-      }
-    }
-    // Like tasks are asked for as one.
-    Map<Like, Renter.Demand> demands = new LinkedHashMap<>();
-    Map<String, Placer.Use> uses = uses();
-    for (Job j : waiting(now)) {
-      // What the team's limit keeps waiting would wait on rented machines as well.
-      int tasks = Math.min(j.pending(), Placer.leftWithinLimit(teams, uses, j.spec));
-      if (tasks == 0) {
-        continue;
-      }
-      charge(uses, j.spec, tasks);
-      if (j.spec.spread()) {
-        // Each zone may take its part only.
-        int left = tasks;
-        for (String zone : zones()) {
-          int n = Math.min(left, j.spec.perZone() - j.inZone(zone));
-          if (n > 0) {
-            demand(demands, j, n, Optional.of(zone));
-            left -= n;
-          }
-        }
-      } else {
-        demand(demands, j, tasks, Optional.empty());
-      }
-    }
-    Headroom headroom = headroom(usable);
-    List<Renter.Demand> all = new ArrayList<>(demands.values());
-    all.addAll(headroom.demands());
-    Map<Kind, Integer> hires = renter.plan(all, coming, types.values(), machines.size(), now);
-    hires.forEach(
-        (kind, n) -> {
-          log.info(
-              "event=rent term={} type={} zone={} spot={} count={}",
-              term,
-              kind.type(),
-              kind.zone(),
-              kind.spot(),
-              n);
-          // Until the cloud has answered, the kind is not asked for again.
-          renter.noteAsked(kind, n, now);
-          cloud.tell(new CloudActor.Hire(kind, n));
-        });
-    spare(usable, headroom, now);
-  }
-
-  private record Like(Placer.Shape shape, Optional<String> zone) {}
-
-  private static void demand(
-      Map<Like, Renter.Demand> demands, Job j, int tasks, Optional<String> zone) {
-    demands.merge(
-        new Like(Placer.Shape.of(j.spec), zone),
-        new Renter.Demand(j, tasks, zone),
-        (a, b) -> new Renter.Demand(a.job(), a.tasks() + b.tasks(), zone));
-  }
-
-  /** All zones of the catalogue. */
-  private Set<String> zones() {
-    Set<String> zones = new LinkedHashSet<>();
-    types.values().forEach(t -> zones.addAll(t.zones()));
-    return zones;
-  }
-
-  /** Room to keep for classes that are expected to start at once. */
-  private Headroom headroom(List<Machine> usable) {
-    Map<String, Integer> running = new HashMap<>();
-    for (Job j : jobs.values()) {
-      if (!startsAtOnce(j.spec)) {
-        continue;
-      }
-      samples.put(j.spec.jobClass(), j);
-      running.merge(j.spec.jobClass(), j.placed.size(), Integer::sum);
-    }
-    Set<String> zones = zones();
-    List<Headroom.Want> wants = new ArrayList<>();
-    for (Objective o : settings.objectives()) {
-      Job sample = samples.get(o.jobClass());
-      if (!o.kind().equals("wait") || sample == null) {
-        continue;
-      }
-      int want =
-          2 + (int) Math.ceil(tuning.headroomShare() * running.getOrDefault(o.jobClass(), 0));
-      int each = (want + zones.size() - 1) / Math.max(1, zones.size());
-      wants.add(new Headroom.Want(sample, each));
-    }
-    return new Headroom(wants, zones, usable);
-  }
-
-  /** How many tasks of a class with a time to keep have room on the machine now. */
-  private int placesFor(String jobClass, Machine m) {
-    Job sample = samples.get(jobClass);
-    return sample != null && sample.spec.allows(m.type, m.zone, m.spot)
-        ? m.room().count(sample)
-        : 0;
-  }
-
-  /** Tasks of a large job of the class, as seen lately: nine of ten have no more. */
-  private int largeJob(String jobClass) {
-    int[] sorted = sizes.get(jobClass).stream().mapToInt(n -> n).sorted().toArray();
-    return sorted.length == 0 ? 0 : sorted[sorted.length * 9 / 10];
-  }
-
-  /** Remembers what jobs of classes with a time to keep are like. */
-  private void noteSize(JobSpec spec, Job job) {
-    for (Objective o : settings.objectives()) {
-      if (o.jobClass().equals(spec.jobClass()) && !spec.service()) {
-        ArrayDeque<Integer> last = sizes.computeIfAbsent(spec.jobClass(), c -> new ArrayDeque<>());
-        last.add(spec.tasks());
-        if (last.size() > 40) {
-          last.poll();
-        }
-        samples.put(spec.jobClass(), job);
-        return;
-      }
-    }
-  }
-
-  /**
-   * Finds machines that can be spared, the dearest first: what they run would fit elsewhere, with
-   * room to spare for what may come. Such machines are met last by new tasks, run empty, and are
-   * given back.
-   */
-  private void spare(List<Machine> usable, Headroom headroom, Instant now) {
-    if (!settledLogged) {
-      return;
-    }
-    if (now.isAfter(evidence.plusSeconds(2))) {
-      // The state service can't be written: a machine marked now would be of no use to anybody.
-      return;
-    }
-    record Candidate(Machine machine, int replicas, double price, double used) {}
-    List<Candidate> candidates = new ArrayList<>();
-    double free = 0;
-    double used = 0;
-    for (Machine m : usable) {
-      double mine = m.type.cpus() - m.roomAbove(Priority.IDLE).cpus;
-      double price = m.type.price(m.spot) / Math.max(1e-9, m.type.cpus());
-      candidates.add(new Candidate(m, replicas(m), price, mine));
-      used += mine;
-      free += m.type.cpus() - mine;
-    }
-    // Without replicas first, since those have to be moved; then the dearest and the emptiest.
-    candidates.sort(
-        Comparator.comparingInt(Candidate::replicas)
-            .thenComparing(Candidate::price, Comparator.reverseOrder())
-            .thenComparingDouble(Candidate::used)
-            .thenComparing(c -> c.machine.name));
-    Map<String, Integer> places = new HashMap<>();
-    Map<String, Integer> large = new HashMap<>();
-    for (String c : sizes.keySet()) {
-      large.put(c, largeJob(c));
-      for (Machine m : usable) {
-        places.merge(c, placesFor(c, m), Integer::sum);
-      }
-    }
-    // Of many machines a smaller part need be kept: what comes and goes varies by the square root.
-    double scale = Math.sqrt(Math.min(1, SMALL_FLEET / (double) Math.max(1, usable.size())));
-    double reserve = tuning.spareShare() * used * scale;
-    int most = 1 + usable.size() / SMALL_FLEET;
-    if (!now.isBefore(nextMove)) {
-      nextMove = now.plus(MOVE_SPACING);
-      moves = most;
-    }
-    Set<Machine> rest = new LinkedHashSet<>(usable);
-    // Some tasks wait at any moment for the next pass; what counts is whether it finds room for
-    // them.
-    boolean lacking = queue.stream().anyMatch(j -> j.noRoom);
-    int emptied = 0;
-    int tried = 0;
-    Map<Machine, Machine.Room> rooms = new HashMap<>();
-    for (Candidate c : candidates) {
-      Machine m = c.machine;
-      double after = free - m.type.cpus();
-      boolean room = !lacking && after >= reserve && headroom.canLose(m);
-      for (String jobClass : sizes.keySet()) {
-        int lost = room ? placesFor(jobClass, m) : 0;
-        room &= lost == 0 || places.get(jobClass) - lost >= large.get(jobClass);
-      }
-      int replicas = c.replicas;
-      if (room && replicas > 0) {
-        room = emptied < most && tried++ < 3 * most && replicasFitInto(m, rest, rooms, now);
-        emptied += room ? 1 : 0;
-      }
-      if (!room) {
-        m.spareSince = Instant.MAX;
-        continue;
-      }
-      free = after;
-      rest.remove(m);
-      headroom.lose(m);
-      sizes.keySet().forEach(k -> places.merge(k, -placesFor(k, m), Integer::sum));
-      if (m.spareSince.equals(Instant.MAX)) {
-        m.spareSince = now;
-      }
-      boolean due = now.isAfter(m.spareSince.plus(tuning.idleRelease()));
-      if (due && replicas > 0) {
-        moveOne(m, now);
-      } else if (due && m.placements.isEmpty() && now.isAfter(m.rented.plusSeconds(60))) {
-        retire(m, "spare");
-      }
-    }
-  }
-
-  private static int replicas(Machine m) {
-    int n = 0;
-    for (Placement p : m.placements.values()) {
-      if (p.job.spec.service()) {
-        n++;
-      }
-    }
-    return n;
-  }
-
-  /** Whether each replica of the machine could go to one of the others that has its image. */
-  private static boolean replicasFitInto(
-      Machine m, Set<Machine> others, Map<Machine, Machine.Room> rooms, Instant now) {
-    for (Placement p : m.placements.values()) {
-      if (!p.job.spec.service()) {
-        continue;
-      }
-      if (p.stage != Stage.RUNNING || p.since.isAfter(now.minus(Placer.SETTLED))) {
-        return false;
-      }
-      boolean placed = false;
-      for (Machine o : others) {
-        if (o != m
-            && Placer.mayMoveTo(p, o)
-            && rooms.computeIfAbsent(o, Machine::room).fits(p.job)) {
-          rooms.get(o).take(p.job);
-          placed = true;
-          break;
-        }
-      }
-      if (!placed) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  /** Moves a replica off a machine that is to be given back, not too many at a time. */
-  private void moveOne(Machine m, Instant now) {
-    if (moves <= 0) {
-      return;
-    }
-    for (Placement p : m.placements.values()) {
-      if (p.job.spec.service() && !p.doomed) {
-        moves--;
-        log.info(
-            "event=move term={} machine={} task={} attempt={}", term, m.name, p.task, p.attempt);
-        doom(p);
-        kick(m);
-        return;
-      }
+    // When the state service can't be written, a machine marked now would be of no use to anybody.
+    boolean mayGiveBack = settledLogged && !now.isAfter(evidence.plusSeconds(2));
+    Fleet.Plan plan =
+        fleet.plan(
+            new Fleet.View(
+                machines.values(),
+                m -> placeable(m, now),
+                jobs.values(),
+                waiting(now),
+                uses(),
+                types.values(),
+                mayGiveBack),
+            now);
+    plan.hires()
+        .forEach(
+            (kind, n) -> {
+              log.info(
+                  "event=rent term={} type={} zone={} spot={} count={}",
+                  term,
+                  kind.type(),
+                  kind.zone(),
+                  kind.spot(),
+                  n);
+              cloud.tell(new CloudActor.Hire(kind, n));
+            });
+    for (Placement p : plan.moves()) {
+      log.info(
+          "event=move term={} machine={} task={} attempt={}",
+          term,
+          p.machine.name,
+          p.task,
+          p.attempt);
+      doom(p);
+      kick(p.machine);
     }
+    plan.giveBack().forEach(m -> retire(m, "spare"));
   }
 
   private void cloudSaid(CloudActor.Event event) {
@@ -2209,7 +1964,7 @@
       catalogueDirty = !types.keySet().equals(storedTypes);
       planCommit();
     } else if (event instanceof CloudActor.Hired e) {
-      renter.noteGranted(e.kind());
+      fleet.renter().noteGranted(e.kind());
       MachineType type = types.get(e.kind().type());
       for (String name : e.names()) {
         if (!machines.containsKey(name) && !gone.contains(name) && type != null) {
@@ -2224,9 +1979,9 @@
       log.info("event=rented term={} kind={} count={}", term, e.kind(), e.names().size());
     } else if (event instanceof CloudActor.Refused e) {
       if (e.trouble()) {
-        renter.noteGranted(e.kind());
+        fleet.renter().noteGranted(e.kind());
       } else {
-        renter.noteRefused(e.kind(), now);
+        fleet.renter().noteRefused(e.kind(), now);
         log.info("event=no_capacity term={} kind={}", term, e.kind());
       }
     } else if (event instanceof CloudActor.Deleted e) {
