--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -552,7 +552,7 @@
   /** Notes when all machines that could hold what a former leader started have spoken. */
   private void noteRebuilt() {
     if (settledLogged
-        || machines.values().stream().anyMatch(m -> !m.settled && m.recorded)) {
+        || machines.values().stream().anyMatch(m -> !m.settled && !m.placements.isEmpty())) {
       return;
     }
     settledLogged = true;
