--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -365,7 +365,7 @@
         + tuning.sameMachineWeight() * onMachine / Math.max(1, s.tasks())
         + tuning.sameZoneWeight() * inZone / Math.max(1, s.tasks())
         + tuning.zoneBalanceWeight() * crowding(job, m.zone)
-        + tuning.imageWeight() * fetchShare(job, m) * fetching(s, m)
+        - (m.images.containsKey(s.image()) ? tuning.imageWeight() * fetchShare(job, m) : 0)
         + (s.spot() && !m.spot ? tuning.ordinaryWeight() : 0)
         // A machine that just missed a direct command gets its starts by report only, which is
         // slow.
@@ -385,25 +385,6 @@
     return most == 0 ? 0 : 1 - free.getOrDefault(zone, 0) / (double) most;
   }
 
-  /**
-   * What a machine has to do for the image: -1 when it has it, nearly that when it is fetching it
-   * already, and more for each other image that it is fetching, since fetches share its rate.
-   */
-  private static double fetching(JobSpec s, Machine m) {
-    if (m.images.containsKey(s.image())) {
-      return -1;
-    }
-    Set<String> others = new HashSet<>();
-    for (Placement p : m.placements.values()) {
-      if (p.stage.compareTo(Placement.Stage.FETCHING) <= 0
-          && !p.doomed
-          && !m.images.containsKey(p.job.spec.image())) {
-        others.add(p.job.spec.image());
-      }
-    }
-    return others.contains(s.image()) ? -0.7 : 0.3 * Math.min(3, others.size());
-  }
-
   /**
    * How much of a task's time a fetch of its image would take: little for a long run, most of it
    * for a start that is expected at once. So a cached image doesn't break up whole machines in
