Replace replicas of silent machines after half of a lease

Change: replicas of a silent machine are replaced after half of a lease instead of seven tenths. A cut shorter than a lease and longer than half of it now costs a restart.

--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -1778,14 +1778,14 @@
         && now.isAfter(m.directAfter)) {
       probe(m);
     }
-    // Replicas on a machine that is merely cut off still count and may serve; they are replaced
-    // shortly before their lease would end. Other work is done again, the sooner the better.
+    // Replicas on a machine that is merely cut off still count and may serve: half of a lease is
+    // waited for them, the rest is kept for what may come between, an outage in which nothing can
+    // be
+    // marked or an election. Other work is done again, the sooner the better.
     boolean serves = m.replicas() > 0;
     boolean few = silence(now).few;
     Duration patience =
-        serves && (m.settled || !few)
-            ? settings.workers().lease().multipliedBy(7).dividedBy(10)
-            : silentAfter();
+        serves && (m.settled || !few) ? settings.workers().lease().dividedBy(2) : silentAfter();
     boolean deaf =
         m.life == Life.UP
             && !m.lost
