--- a/src/main/java/io/pearscale/bookkeeping/Job.java
+++ b/src/main/java/io/pearscale/bookkeeping/Job.java
@@ -2,6 +2,7 @@
 
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.storage.Marks;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.BitSet;
 import java.util.HashMap;
@@ -11,6 +12,12 @@
 
 /** A job that is not over, as the leader sees it. */
 final class Job {
+  /** A batch job of which nothing runs for so long gets a task started before others. */
+  static final Duration LONG_WAIT = Duration.ofSeconds(75);
+
+  /** What is stopped sooner is no start in its user's eyes. */
+  static final Duration A_START = Duration.ofSeconds(30);
+
   final JobSpec spec;
   final long stamp;
   final Instant submitted;
@@ -31,7 +38,7 @@
   Instant notBefore = Instant.MIN;
   boolean succeeded;
 
-  /** Whether any of its tasks was seen running. */
+  /** Whether any of its tasks ran for long enough to count as a start. */
   boolean begun;
 
   /** Whether the last pass found no place for one of its tasks. */
--- a/src/main/java/io/pearscale/bookkeeping/Placement.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placement.java
@@ -1,6 +1,7 @@
 package io.pearscale.bookkeeping;
 
 import io.pearscale.protocol.TaskId;
+import java.time.Duration;
 import java.time.Instant;
 
 /** One attempt of a task on one machine, from the decision until it is known to be gone. */
@@ -48,6 +49,13 @@
   int kills;
   Instant since;
 
+  /** How long it has been running by now; nothing if it is not. */
+  Duration ranFor(Instant now) {
+    return stage == Stage.RUNNING || stage == Stage.SAVING
+        ? Duration.between(since, now)
+        : Duration.ZERO;
+  }
+
   Placement(Job job, TaskId task, long attempt, Machine machine, Stage stage, Instant since) {
     this.job = job;
     this.task = task;
--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -274,6 +274,19 @@
     return byEviction;
   }
 
+  /**
+   * Whether a task is the first of a batch job that has waited for long: stopped before it counts
+   * as a start, the job would go on waiting, and the youngest are the first to be stopped.
+   */
+  private boolean sheltered(Placement p) {
+    return !p.job.spec.service()
+        && !p.job.begun
+        && p.job.done.isEmpty()
+        && p.job.placed.size() == 1
+        && p.job.submitted.isBefore(now.minus(Job.LONG_WAIT))
+        && p.ranFor(now).compareTo(Job.A_START) < 0;
+  }
+
   /** Whether a kill would be carried out at once: a start that waits for it has no time to lose. */
   private boolean prompt(Machine m) {
     return m.heard.isAfter(heardSince) && !now.isBefore(m.directAfter);
@@ -429,7 +442,7 @@
       }
       List<Placement> candidates = new ArrayList<>();
       for (Placement p : m.placements.values()) {
-        if (!p.doomed && mayEvict(job, p, guaranteed)) {
+        if (!p.doomed && !sheltered(p) && mayEvict(job, p, guaranteed)) {
           candidates.add(p);
         }
       }
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -73,9 +73,6 @@
   private static final Duration PASS_SPACING = Duration.ofMillis(30);
   private static final Duration COMMIT_SPACING = Duration.ofMillis(40);
 
-  /** A batch job of which nothing runs for so long gets a task started before others. */
-  private static final Duration LONG_WAIT = Duration.ofSeconds(75);
-
   private static final int PROBES = 40;
   private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
   private static final Duration LEISURE = Duration.ofSeconds(4);
@@ -755,7 +752,6 @@
           default -> Stage.RUNNING;
         };
     if (p.stage == Stage.RUNNING && before != Stage.RUNNING) {
-      p.job.begun = true;
       log.debug(
           "event=running term={} machine={} task={} attempt={} since_submit_ms={} since_start_ms={}",
           term,
@@ -889,6 +885,9 @@
   private void remove(Placement p) {
     p.machine.remove(p);
     p.job.remove(p);
+    if (p.ranFor(now()).compareTo(Job.A_START) >= 0) {
+      p.job.begun = true;
+    }
     requeue(p.job);
     schedule();
   }
@@ -1043,7 +1042,7 @@
     return !j.spec.service()
         && !j.begun
         && j.done.isEmpty()
-        && now.isAfter(j.submitted.plus(LONG_WAIT))
+        && now.isAfter(j.submitted.plus(Job.LONG_WAIT))
         && j.placed.isEmpty();
   }
 
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -21,6 +21,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
@@ -317,6 +318,34 @@
         breaks("begins_late", u.spec.id());
       }
     }
+    served("class", u -> u.spec.jobClass());
+    served("team", u -> u.spec.team());
+    Map<String, Integer> largest = new HashMap<>();
+    users
+        .values()
+        .forEach(u -> largest.merge(u.spec.jobClass(), u.spec.tasks(), (a, b) -> Math.max(a, b)));
+    served(
+        "largest",
+        u -> 2 * u.spec.tasks() > largest.get(u.spec.jobClass()) ? u.spec.jobClass() : "");
+  }
+
+  /** Of the accepted jobs of each group, half at least are over or run with all their tasks. */
+  private void served(String kind, Function<SimUser, String> groupOf) {
+    Map<String, int[]> groups = new HashMap<>();
+    for (SimUser u : users.values()) {
+      long running = present.stream().filter(p -> p.task.job().equals(u.spec.id())).count();
+      if (u.accepted && !groupOf.apply(u).isEmpty()) {
+        int[] counts = groups.computeIfAbsent(groupOf.apply(u), k -> new int[2]);
+        counts[0]++;
+        counts[1] += u.over() || running >= u.spec.tasks() ? 1 : 0;
+      }
+    }
+    groups.forEach(
+        (group, counts) -> {
+          if (2 * counts[1] < counts[0]) {
+            breaks("under_half_served", kind + " " + group + " " + counts[1] + "/" + counts[0]);
+          }
+        });
   }
 
   /** Called every second. */
