--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -48,6 +48,10 @@
   private final List<String> given = new ArrayList<>();
   private final List<String> log = new ArrayList<>();
   private final List<String> hires = new ArrayList<>();
+
+  /** Places in a value of the roster, as the leader counts them. */
+  private static final int PLACES = 64;
+
   private final List<Roster.Entry> hosts = new ArrayList<>();
   private int marked;
   private String via = "hive-0";
@@ -193,7 +197,7 @@
       } else {
         Roster.Entry e =
             hosts.stream().filter(h -> h.machine().equals(parts[1])).findFirst().orElseThrow();
-        on[task] = Marks.host(0, e.place(), 64);
+        on[task] = Marks.host(0, e.place(), PLACES);
       }
     }
     changed(
@@ -213,7 +217,9 @@
             (key, value) ->
                 Roster.decode(value)
                     .forEach(
-                        e -> names.put(Marks.host(Keys.number(key), e.place(), 64), e.machine())));
+                        e ->
+                            names.put(
+                                Marks.host(Keys.number(key), e.place(), PLACES), e.machine())));
     for (JsonNode value : world.state.under("c/marks/").values()) {
       for (Marks.Part p : Marks.decode(value)) {
         if (p.job().equals(job) && p.done().get(index)) {
