Keep room, and let victims not save, only where the time to start leaves no other way

Cause: objectives on starting now stand for batch classes as well (30, 90 and 120 s). Any of them made a class one that starts at once: room was kept free for idle work, and what it stopped lost what it had not saved. Now it follows from the time allowed against boot, fetch and saving times of the catalogue and the jobs; of several objectives the shortest counts.

--- a/src/main/java/io/pearscale/bookkeeping/ApiActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/ApiActor.java
@@ -240,12 +240,8 @@
         || (t.gpusMax() > 0 && n * s.gpus() > t.gpusMax() + 1e-6)) {
       return refuse("beyond the team's limit");
     }
-    for (MachineType type : types) {
-      for (String zone : type.zones()) {
-        if (s.allows(type, zone, false) || s.allows(type, zone, true)) {
-          return Optional.empty();
-        }
-      }
+    if (types.stream().anyMatch(s::allowsSomewhere)) {
+      return Optional.empty();
     }
     return refuse("no allowed machine type is large enough");
   }
--- a/src/main/java/io/pearscale/bookkeeping/JobClasses.java
+++ b/src/main/java/io/pearscale/bookkeeping/JobClasses.java
@@ -1,9 +1,13 @@
 package io.pearscale.bookkeeping;
 
+import io.pearscale.protocol.Fields;
 import io.pearscale.protocol.JobSpec;
+import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Settings.Objective;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,25 +18,58 @@
 final class JobClasses {
   private static final int REMEMBERED = 40;
 
+  /**
+   * What a stop or a start takes beside saving and fetching: messages and the worker's own time.
+   */
+  private static final Duration MESSAGES = Duration.ofSeconds(2);
+
   private final List<Objective> objectives;
+  private final Collection<MachineType> types;
   private final Map<String, Job> samples = new HashMap<>();
   private final Map<String, ArrayDeque<Integer>> sizes = new HashMap<>();
 
-  JobClasses(List<Objective> objectives) {
+  /**
+   * Judges classes by what is expected of them.
+   *
+   * @param types the machine types as they are known at any time
+   */
+  JobClasses(List<Objective> objectives, Collection<MachineType> types) {
     this.objectives = objectives;
+    this.types = types;
   }
 
-  /** In which time tasks of the class are expected to start. */
+  /** In which time tasks of the class are expected to start; the shortest, if several are said. */
   Optional<Duration> startWithin(JobSpec spec) {
     return objectives.stream()
         .filter(o -> o.kind().equals("wait") && o.jobClass().equals(spec.jobClass()))
         .map(Objective::within)
-        .findFirst();
+        .min(Comparator.naturalOrder());
   }
 
-  /** Whether the class is expected to start within a time that leaves none for others to save. */
+  /**
+   * Whether room has to be free before the job comes: no machine that is rented when it comes would
+   * be up, with its image, in the time that its tasks have to start. Batch work that has a minute
+   * or two needs no room of its own.
+   */
   boolean startsAtOnce(JobSpec spec) {
-    return startWithin(spec).isPresent();
+    Optional<Duration> within = startWithin(spec);
+    if (within.isEmpty()) {
+      return false;
+    }
+    return types.stream()
+        .filter(spec::allowsSomewhere)
+        .map(t -> Renter.bootTime(t).plus(fetch(spec, t)).plus(MESSAGES))
+        .noneMatch(need -> need.compareTo(within.get()) <= 0);
+  }
+
+  /** Whether a start on a machine of the type would be late if it waited for the victim to save. */
+  boolean tooLateIfSaved(JobSpec spec, JobSpec victim, MachineType type) {
+    Duration need = victim.save().plus(fetch(spec, type)).plus(MESSAGES);
+    return startWithin(spec).filter(w -> w.compareTo(need) < 0).isPresent();
+  }
+
+  private static Duration fetch(JobSpec spec, MachineType type) {
+    return Fields.duration(spec.imageGb() / Math.max(1e-3, type.fetchGbPerSecond()));
   }
 
   /** Tasks of a large job of the class, as seen lately: nine of ten have no more. */
@@ -58,9 +95,10 @@
 
   /** The classes whose tasks are expected to start at once. */
   List<String> startingAtOnce() {
-    return objectives.stream()
-        .filter(o -> o.kind().equals("wait"))
-        .map(Objective::jobClass)
+    return samples.entrySet().stream()
+        .filter(e -> startsAtOnce(e.getValue().spec))
+        .map(Map.Entry::getKey)
+        .sorted()
         .toList();
   }
 
--- a/src/main/java/io/pearscale/bookkeeping/Renter.java
+++ b/src/main/java/io/pearscale/bookkeeping/Renter.java
@@ -184,6 +184,11 @@
     return Math.max(1e-6, j.spec.cpus() + j.spec.gpus() + j.spec.memoryGb() * 1e-3);
   }
 
+  /** How long most machines take to boot: up to half as long again as the catalogue says. */
+  static Duration bootTime(MachineType t) {
+    return t.boot().multipliedBy(3).dividedBy(2);
+  }
+
   /** How long a machine may boot before it no longer counts as coming. */
   static Duration patience(MachineType t) {
     return t.boot().multipliedBy(2).plusSeconds(5);
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -242,7 +242,7 @@
     this.higherTerm = higherTerm;
     this.counts = counts;
     this.cloud = new CloudActor(loop, calls, settings, e -> tell(new CloudSaid(e)));
-    this.classes = new JobClasses(settings.objectives());
+    this.classes = new JobClasses(settings.objectives(), types.values());
     this.fleet = new Fleet(tuning, teams, classes);
     newBooks();
     settings.teams().forEach(t -> teams.put(t.name(), t));
@@ -1127,7 +1127,7 @@
             victim.attempt,
             j.spec.id(),
             i);
-        victim.hurried = classes.startsAtOnce(j.spec);
+        victim.hurried = classes.tooLateIfSaved(j.spec, victim.job.spec, m.type);
         doom(victim);
         touched.add(m);
       }
--- a/src/main/java/io/pearscale/protocol/JobSpec.java
+++ b/src/main/java/io/pearscale/protocol/JobSpec.java
@@ -118,6 +118,12 @@
         && memoryGb <= type.memoryGb();
   }
 
+  /** Whether machines of this type may run the job's tasks in some zone, ordinary or spot. */
+  public boolean allowsSomewhere(MachineType type) {
+    return type.zones().stream()
+        .anyMatch(z -> allows(type, z, /* onSpot= */ false) || allows(type, z, /* onSpot= */ true));
+  }
+
   /** How many of the tasks one zone may hold. */
   public int perZone() {
     return spread ? (tasks + 1) / 2 : tasks;
