Close workers' connections with the answer when most sockets are taken

Cause: with two of three controllers out of the workers' reach, 1,500 workers want connections of the one that is left, which has 980 of 1,400 for them. Who had one kept it; the others waited 4 s at each of the two unreachable ones in turn, and their leases ran out.

Now, from 85 % of the sockets on, those who speak only now and then get their answer with Connection: close, and a refused user's connection is closed at once, not when the user closes it. Sockets are logged once a minute.

Ruled out: processor (peak was the same before) and the relay.

--- a/src/main/java/io/pearscale/bookkeeping/Controller.java
+++ b/src/main/java/io/pearscale/bookkeeping/Controller.java
@@ -37,6 +37,10 @@
 /** One controller: its actors, wired together, and the doors through which requests come in. */
 public final class Controller {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+
+  /** Where workers report. */
+  public static final String REPORTS = "/checkin";
+
   private static final Duration HEARTBEAT = Duration.ofMillis(700);
   private static final Duration STARTING = Duration.ofSeconds(5);
   private static final Duration STORE_SILENT = Duration.ofMillis(4500);
@@ -270,7 +274,7 @@
           useful()
               ? Response.of(200, MessagePack.map().put("ok", true))
               : Response.later(Duration.ofSeconds(1), "not ready"));
-    } else if (path.equals("/checkin") && method.equals("POST")) {
+    } else if (path.equals(REPORTS) && method.equals("POST")) {
       checkin(body, respond);
     } else if (path.equals("/work") && method.equals("POST")) {
       toApi(new ApiActor.Submit(body, respond), respond);
--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -12,8 +12,11 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -21,6 +24,9 @@
 
 /** A controller on real sockets: one XNIO thread does everything. */
 final class Server {
+  private static final Logger LOG = LoggerFactory.getLogger(Server.class);
+  private static final Duration SOCKETS_LOGGED = Duration.ofMinutes(1);
+
   private final XnioWorker worker;
   private final HttpServer http;
   private Controller controller;
@@ -69,7 +75,9 @@
             worker,
             buffers,
             settings.maxConnections() * 7 / 10,
+            Controller.REPORTS::equals,
             controller::request);
+    loop.after(SOCKETS_LOGGED, () -> logSockets(loop, calls));
     loop.execute(
         () -> {
           try {
@@ -82,6 +90,11 @@
         });
   }
 
+  private void logSockets(XnioLoop loop, HttpCalls calls) {
+    LOG.info("event=sockets served={} called={}", http.open(), calls.open());
+    loop.after(SOCKETS_LOGGED, () -> logSockets(loop, calls));
+  }
+
   void start() {
     http.start();
   }
--- a/src/main/java/io/pearscale/cli/WarmUp.java
+++ b/src/main/java/io/pearscale/cli/WarmUp.java
@@ -100,6 +100,7 @@
             worker,
             buffers,
             100,
+            path -> false,
             this::stub);
     stub.start();
     Path file = Files.createTempFile("pearscale", ".toml");
--- a/src/main/java/io/pearscale/transport/HttpCalls.java
+++ b/src/main/java/io/pearscale/transport/HttpCalls.java
@@ -260,7 +260,8 @@
     }
   }
 
-  private int open() {
+  /** Connections that are open or being opened. */
+  public int open() {
     return connecting + counted.size();
   }
 
--- a/src/main/java/io/pearscale/transport/HttpServer.java
+++ b/src/main/java/io/pearscale/transport/HttpServer.java
@@ -5,6 +5,8 @@
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.net.InetSocketAddress;
@@ -12,11 +14,20 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.IoUtils;
 import org.xnio.XnioWorker;
 
-/** The listener for users, workers and health checks. */
+/**
+ * The listener for users, workers and health checks.
+ *
+ * <p>With more workers than sockets, as when two of three controllers are out of their reach, open
+ * connections would keep all others out for good: a worker without one waits for seconds at each
+ * controller in turn while its lease runs out. So when most sockets are taken, those who speak only
+ * now and then are asked to come anew each time: their connection is closed with the answer.
+ */
 public final class HttpServer {
   private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
   private static final long MAX_BODY = 64 * 1024;
@@ -41,15 +52,27 @@
     void handle(String method, String path, Optional<JsonNode> body, Consumer<Response> respond);
   }
 
+  private static final AttachmentKey<Boolean> COUNTED = AttachmentKey.create(Boolean.class);
+
   private final Undertow undertow;
+  private final int crowded;
+  private final Predicate<String> yielding;
+  private int open;
 
-  /** Prepares a server on the address, run by the worker. */
+  /**
+   * Prepares a server on the address, run by the worker.
+   *
+   * @param yielding paths of those whose connections are closed when most are taken
+   */
   public HttpServer(
       InetSocketAddress address,
       XnioWorker worker,
       ByteBufferPool buffers,
       int maxConnections,
+      Predicate<String> yielding,
       Handler handler) {
+    this.crowded = maxConnections * 17 / 20;
+    this.yielding = yielding;
     undertow =
         Undertow.builder()
             .setWorker(worker)
@@ -78,7 +101,21 @@
     undertow.stop();
   }
 
-  private static void receive(HttpServerExchange exchange, Handler handler) {
+  /** Connections on which anything was asked. */
+  public int open() {
+    return open;
+  }
+
+  private void count(ServerConnection connection) {
+    if (connection.getAttachment(COUNTED) == null) {
+      connection.putAttachment(COUNTED, true);
+      open++;
+      connection.addCloseListener(c -> open--);
+    }
+  }
+
+  private void receive(HttpServerExchange exchange, Handler handler) {
+    count(exchange.getConnection());
     // A body that comes in several pieces is handed over inside a call of Undertow's, which ends
     // the exchange with an empty 200 when it returns: each callback must leave that call first.
     exchange
@@ -99,7 +136,7 @@
                                 true))));
   }
 
-  private static void handle(HttpServerExchange exchange, byte[] bytes, Handler handler) {
+  private void handle(HttpServerExchange exchange, byte[] bytes, Handler handler) {
     Optional<JsonNode> body = bytes.length == 0 ? Optional.empty() : MessagePack.decode(bytes);
     try {
       handler.handle(
@@ -114,7 +151,7 @@
     }
   }
 
-  private static void respond(HttpServerExchange exchange, Response response) {
+  private void respond(HttpServerExchange exchange, Response response) {
     if (exchange.isResponseStarted() || exchange.isComplete()) {
       return;
     }
@@ -126,8 +163,14 @@
                 exchange
                     .getResponseHeaders()
                     .put(Headers.RETRY_AFTER, Long.toString(Math.max(1, d.toSeconds()))));
-    if (response.close()) {
+    if (response.close() || (open > crowded && yielding.test(exchange.getRequestPath()))) {
       exchange.setPersistent(false);
+      // At once, not when the client closes its side, which one that is cut off never does.
+      exchange.addExchangeCompleteListener(
+          (ex, next) -> {
+            next.proceed();
+            IoUtils.safeClose(ex.getConnection());
+          });
     }
     byte[] bytes =
         response.body().isMissingNode() ? new byte[0] : MessagePack.encode(response.body());
