Bound old leases by the peers' word that they know of the election

A peer that says that it knows the new term leads in no older one: it steps down before it says so, or is a later life of a process that ended; reports that it answers afterwards were sent before. From when all have said so, a lease bounds what a silent machine may hold. Who hears of its own election after it heard of a newer term does not lead (found while arguing this: the news may come late when a process stood still).

Ruled out: the passes (p99 10 ms) and the probes.

--- a/src/main/java/io/pearscale/bookkeeping/Controller.java
+++ b/src/main/java/io/pearscale/bookkeeping/Controller.java
@@ -147,6 +147,11 @@
       scheduler.tell(new SchedulerActor.Vouched(evidence, withdrawn));
     }
 
+    @Override
+    public void acknowledged() {
+      scheduler.tell(new SchedulerActor.Acknowledged(term));
+    }
+
     @Override
     public void ask(long nonce) {
       byte[] frame = PeerMessage.encode(new PeerMessage.Question(nonce));
@@ -218,7 +223,7 @@
     }
     if (message instanceof Heartbeat m) {
       peers.put(peer, new PeerState(loop.clock().instant(), m.storeOk()));
-      election.tell(new ElectionActor.Heard(m.term(), m.leader()));
+      election.tell(new ElectionActor.Heard(peer, m.term(), m.leader()));
     } else if (message instanceof PeerMessage.Question m) {
       if (loaded) {
         long known = term;
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -106,6 +106,9 @@
   /** It does not lead any more. */
   public record Lost(long term) implements Message {}
 
+  /** All peers know of the election of that term, so none of them leads in an older one. */
+  public record Acknowledged(long term) implements Message {}
+
   /** A worker's report, to be answered; {@code via} is the controller that it came to. */
   public record Reported(Report report, String via, Consumer<ReportAnswer> answer)
       implements Message {}
@@ -171,6 +174,10 @@
   private long term;
   private long termStamp;
   private Instant wonAt = Instant.MIN;
+
+  /** Until then a former leader may have renewed leases. */
+  private Instant formerLeaders = Instant.MIN;
+
   private Instant evidence = Instant.MIN;
   private Instant fresh = Instant.MIN;
   private long attempts;
@@ -272,6 +279,8 @@
       m.withdrawn.forEach(this::removeJob);
       evidence = m.evidence.isAfter(evidence) ? m.evidence : evidence;
       fresh = m.evidence.isAfter(fresh) ? m.evidence : fresh;
+    } else if (message instanceof Acknowledged m && leading && m.term == term) {
+      acknowledged();
     } else if (message instanceof Lost) {
       lost();
     } else if (message instanceof CloudSaid m && leading) {
@@ -423,6 +432,7 @@
     termStamp = m.termStamp;
     evidence = m.evidence;
     wonAt = now();
+    formerLeaders = wonAt.plus(settings.hold());
     attempts = 0;
     commits = 0;
     committing = false;
@@ -541,11 +551,29 @@
 
   private void enlist(Machine m) {
     m.token = (term << TERM_SHIFT) + 1;
-    // A former leader may have renewed the lease for as long as its proof held.
-    m.renewed = wonAt.plus(settings.hold());
+    m.renewed = formerLeaders;
     machines.put(m.name, m);
   }
 
+  /**
+   * A former leader may renew leases for as long as its proof holds, unless it has ended or knows
+   * of our term. Both are known of every peer from when it said that it knows the term: it steps
+   * down before it says so, and answers afterwards only reports that it had got before. So the
+   * tasks of a machine that nobody hears are over a lease from now, not a lease after the hold:
+   * whole zones that are cut off while their leader's process ends are done without so much sooner.
+   */
+  private void acknowledged() {
+    Instant now = now();
+    if (now.isBefore(formerLeaders)) {
+      formerLeaders = now;
+      machines.values().stream().filter(m -> m.renewed.isAfter(now)).forEach(m -> m.renewed = now);
+      log.info(
+          "event=former_leaders_over term={} after_ms={}",
+          term,
+          Duration.between(wonAt, now).toMillis());
+    }
+  }
+
   /** Notes when all machines that could hold what a former leader started have spoken. */
   private void noteRebuilt() {
     if (settledLogged
--- a/src/main/java/io/pearscale/coordination/ElectionActor.java
+++ b/src/main/java/io/pearscale/coordination/ElectionActor.java
@@ -57,8 +57,11 @@
   /** Somebody has seen a higher term: a worker's token, or a peer. */
   public record HigherTerm(long term) implements Message {}
 
-  /** A peer says who leads; counts only for controllers that can't ask the state service. */
-  public record Heard(long term, String leader) implements Message {}
+  /**
+   * A peer says who leads. Others take its word only while they can't ask the state service; a
+   * leader learns from it whom its own election has reached.
+   */
+  public record Heard(String peer, long term, String leader) implements Message {}
 
   /** A peer refuses connections: its process may have ended. */
   public record PeerEnded(String peer) implements Message {}
@@ -94,6 +97,12 @@
     /** All peers have confirmed the same, and named the jobs that they told as cancelled lately. */
     void vouched(Instant evidence, Set<String> withdrawn);
 
+    /**
+     * All peers have said since the election that they know of it. Whoever says so leads in no
+     * older term: it has stepped down before, or is a later life of a process that has ended.
+     */
+    void acknowledged();
+
     /** All peers are to be asked for their word. */
     void ask(long nonce);
 
@@ -124,6 +133,12 @@
   private final Set<String> vouchers = new HashSet<>();
   private final Set<String> withdrawn = new HashSet<>();
 
+  /** The highest term that a peer has told us of. */
+  private long highestHeard;
+
+  /** Peers that have said that they know of our election. */
+  private final Set<String> aware = new HashSet<>();
+
   /** Takes part in elections; {@code listeners} are told of the outcome. */
   public ElectionActor(
       Loop loop,
@@ -230,11 +245,16 @@
   }
 
   private void heard(Heard m) {
+    highestHeard = Math.max(highestHeard, m.term);
     if (leading && m.term > term) {
       stepDown("peer_has_higher_term");
-    } else if (!leading && m.term > knownTerm() && !m.leader.isEmpty()) {
+    } else if (leading) {
+      if (m.term == term && aware.add(m.peer) && aware.containsAll(settings.peers().keySet())) {
+        listeners.forEach(Listener::acknowledged);
+      }
+    } else if (m.term > knownTerm() && !m.leader.isEmpty()) {
       listeners.forEach(l -> l.leader(m.term, Optional.of(m.leader)));
-    } else if (!leading && !loaded && m.term > 0 && !m.leader.isEmpty()) {
+    } else if (!loaded && m.term > 0 && !m.leader.isEmpty()) {
       listeners.forEach(l -> l.leader(m.term, Optional.of(m.leader)));
     }
   }
@@ -337,10 +357,21 @@
   }
 
   private void win(long newTerm, long termStamp) {
+    if (newTerm < highestHeard) {
+      // The news of our election were long on their way, or we stood still meanwhile. We have said
+      // that we know of a newer term, and its leader relies on it that nobody leads in an older
+      // one.
+      log.info("event=won_too_late term={} heard={}", newTerm, highestHeard);
+      state.revoke(grant, r -> {});
+      grant = -1;
+      planStand(retryDelay());
+      return;
+    }
     round++;
     standing = false;
     leading = true;
     term = newTerm;
+    aware.clear();
     // What was read when the transaction was sent proves nothing before it was applied, and it was
     // applied after it was sent: the time of sending is a safe lower bound.
     log.info("event=elected term={} host={}", term, settings.host());
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/ElectionTest.java
@@ -0,0 +1,130 @@
+package io.pearscale.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pearscale.coordination.ElectionActor;
+import io.pearscale.protocol.Settings;
+import io.pearscale.storage.StateClient;
+import io.pearscale.transport.Calls;
+import io.pearscale.transport.Loop;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+
+/** An election whose news come late, and what peers say meanwhile. */
+class ElectionTest implements Loop, Calls, ElectionActor.Listener {
+  private final World world = new World(1);
+  private final List<String> told = new ArrayList<>();
+  private boolean holdCommits;
+  private Runnable held = () -> {};
+
+  private ElectionActor election() {
+    for (int i = 0; i < 3; i++) {
+      world.nodes.put("hive-" + i, new SimNode(world, "hive-" + i));
+    }
+    Settings settings = world.settings("hive-0");
+    return new ElectionActor(
+        this,
+        new StateClient(this, this, settings),
+        settings,
+        RandomGeneratorFactory.of("L64X128MixRandom").create(1),
+        List.of(this));
+  }
+
+  private void play(long millis) {
+    world.playTo(world.passed().plusMillis(millis));
+  }
+
+  @Test
+  void allPeersMustKnowOfTheTerm() {
+    ElectionActor election = election();
+    election.tell(new ElectionActor.Loaded(Map.of()));
+    play(500);
+    election.tell(new ElectionActor.Heard("hive-1", 1, "hive-0"));
+    election.tell(new ElectionActor.Heard("hive-1", 1, "hive-0"));
+    election.tell(new ElectionActor.Heard("hive-2", 0, ""));
+    play(10);
+    assertEquals(List.of("won 1"), told);
+    election.tell(new ElectionActor.Heard("hive-2", 1, "hive-0"));
+    play(10);
+    assertEquals(List.of("won 1", "acknowledged"), told);
+  }
+
+  @Test
+  void whoKnowsOfANewerTermDoesNotLeadInAnOlderOne() {
+    ElectionActor election = election();
+    holdCommits = true;
+    election.tell(new ElectionActor.Loaded(Map.of()));
+    play(500);
+    election.tell(new ElectionActor.Heard("hive-1", 2, "hive-1"));
+    play(10);
+    held.run();
+    play(10);
+    assertEquals(List.of(), told);
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    world.after(Duration.ZERO, task);
+  }
+
+  @Override
+  public void after(Duration delay, Runnable task) {
+    world.after(delay, task);
+  }
+
+  @Override
+  public InstantSource clock() {
+    return () -> world.now;
+  }
+
+  @Override
+  public void call(
+      String address,
+      String method,
+      String path,
+      JsonNode body,
+      Duration timeout,
+      Consumer<Reply> answer) {
+    if (path.equals("/commit") && holdCommits) {
+      world.state.serve(
+          "hive-0", method, path, body, r -> held = () -> execute(() -> answer.accept(r)));
+    } else {
+      world.state.serve("hive-0", method, path, body, r -> execute(() -> answer.accept(r)));
+    }
+  }
+
+  @Override
+  public void won(long term, long termStamp, Instant evidence) {
+    told.add("won " + term);
+  }
+
+  @Override
+  public void confirmed(Instant evidence) {}
+
+  @Override
+  public void vouched(Instant evidence, Set<String> withdrawn) {}
+
+  @Override
+  public void acknowledged() {
+    told.add("acknowledged");
+  }
+
+  @Override
+  public void ask(long nonce) {}
+
+  @Override
+  public void lost(long term) {}
+
+  @Override
+  public void leader(long term, Optional<String> name) {}
+}
--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -118,6 +118,7 @@
         core.tell(new SchedulerActor.Changed(List.of(), stamp));
         settle(Duration.ofMillis(100));
       }
+      case "acknowledged" -> core.tell(new SchedulerActor.Acknowledged(term));
       case "confirm" -> confirm();
       case "wait" -> {
         for (int i = 0; i < 20 * Double.parseDouble(w.get(1)); i++) {
