Keep the machines of a zone that is cut off, and rent none there meanwhile

Cause: a machine whose lease had run out was given back two leases after it was last heard; one that a new leader had never heard, at once.

Now, while most of a zone is silent, its machines are kept for ten leases, and nothing is rented there. Silence counts from a new leader's election.

--- a/src/main/java/io/pearscale/bookkeeping/Fleet.java
+++ b/src/main/java/io/pearscale/bookkeeping/Fleet.java
@@ -36,6 +36,7 @@
    * @param usable which machines may take tasks now
    * @param waiting jobs with tasks that wait, in the order in which they are decided
    * @param uses what each team has in use
+   * @param silentZones zones of which nothing is heard: what is rented there is of no use by now
    * @param mayGiveBack whether it is known where all tasks are, and can be written what is decided
    */
   record View(
@@ -45,6 +46,7 @@
       List<Job> waiting,
       Map<String, Placer.Use> uses,
       Collection<MachineType> types,
+      Set<String> silentZones,
       boolean mayGiveBack) {}
 
   /** What is to be done: rented, given back, and moved off machines that are to be empty. */
@@ -88,7 +90,8 @@
     Headroom headroom = headroom(v, usable);
     List<Renter.Demand> demands = demands(v);
     demands.addAll(headroom.demands());
-    Map<Kind, Integer> hires = renter.plan(demands, coming, v.types, v.machines.size(), now);
+    Map<Kind, Integer> hires =
+        renter.plan(demands, coming, v.types, v.silentZones, v.machines.size(), now);
     // Until the cloud has answered, a kind is not asked for again.
     hires.forEach((kind, n) -> renter.noteAsked(kind, n, now));
     Plan plan = new Plan(hires, new ArrayList<>(), new ArrayList<>());
--- a/src/main/java/io/pearscale/bookkeeping/Renter.java
+++ b/src/main/java/io/pearscale/bookkeeping/Renter.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Decides what to rent: work that finds no room is packed into machines that are on their way, and
@@ -89,12 +90,14 @@
   /**
    * What to rent now, given what is on its way.
    *
+   * @param silentZones zones in which nothing is to be rented
    * @param fleet how many machines there are: a large fleet may grow by more at once
    */
   Map<Kind, Integer> plan(
       List<Demand> demands,
       Collection<Machine> coming,
       Collection<MachineType> types,
+      Set<String> silentZones,
       int fleet,
       Instant now) {
     int most = Math.max(LEAST_AT_ONCE, fleet / 4);
@@ -123,7 +126,8 @@
       }
       while (left > 0 && total < most) {
         Optional<Bin> best =
-            cheapest(d, left, demands.subList(i + 1, demands.size()), types, hires, now);
+            cheapest(
+                d, left, demands.subList(i + 1, demands.size()), types, silentZones, hires, now);
         if (best.isEmpty()) {
           break;
         }
@@ -146,6 +150,7 @@
       int tasks,
       List<Demand> later,
       Collection<MachineType> types,
+      Set<String> silentZones,
       Map<Kind, Integer> hires,
       Instant now) {
     Bin best = null;
@@ -155,7 +160,8 @@
         for (boolean spot : new boolean[] {true, false}) {
           Kind kind = new Kind(t.name(), zone, spot);
           Refusal r = refused.get(kind);
-          if ((r != null && now.isBefore(r.until))
+          if (silentZones.contains(zone)
+              || (r != null && now.isBefore(r.until))
               || hires.getOrDefault(kind, 0) >= MOST_OF_A_KIND) {
             continue;
           }
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -80,6 +80,7 @@
   private static final int SHARED_VALUE = 6000;
   private static final Duration REPEAT = Duration.ofSeconds(2);
   private static final Duration DIRECT_PAUSE = Duration.ofSeconds(3);
+  private static final int LEASES_OF_A_CUT = 10;
   private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(6);
 
   /** What the actor understands. */
@@ -142,8 +143,11 @@
       List<String> dropped,
       boolean catalogue) {}
 
-  /** Whether few machines are silent, and whether it is not most of them. */
-  private record Silence(boolean few, boolean minority) {}
+  /**
+   * Whether few machines are silent, and whether it is not most of them; the zones of which most
+   * are.
+   */
+  private record Silence(boolean few, boolean minority, Set<String> zones) {}
 
   /** Marks of a job are kept in parts. */
   private record Part(Job job, int part) {}
@@ -1791,7 +1795,7 @@
       }
       log.warn("event=machine_lost term={} machine={} tasks={}", term, m.name, dropped);
     }
-    Instant spoke = m.heard.isAfter(wonAt) ? m.heard : wonAt;
+    Instant spoke = spoke(m);
     Duration silence = Duration.between(spoke, now);
     Duration report = settings.workers().report();
     // Reports come a quarter early or late; what is later than that is asked for.
@@ -1830,9 +1834,12 @@
     boolean neverCame =
         m.life == Life.BOOTING
             && now.isAfter(m.rented.plus(m.type.boot().multipliedBy(4)).plusSeconds(5));
+    // When most of a zone is silent, it is cut off, and its machines come back with it, each with
+    // the images that it has: those given back would have to be rented again, and boot, and fetch.
+    int leases = silence(now).zones.contains(m.zone) ? LEASES_OF_A_CUT : 2;
     boolean silentLong =
         m.lost
-            && now.isAfter(m.heard.plus(settings.workers().lease().multipliedBy(2)))
+            && now.isAfter(spoke.plus(settings.workers().lease().multipliedBy(leases)))
             && m.life == Life.UP;
     boolean takenAway =
         m.takenAt.isPresent()
@@ -1870,15 +1877,24 @@
     int up = 0;
     int silent = 0;
     Instant limit = now.minus(silentAfter());
+    Map<String, Integer> byZone = new HashMap<>();
     for (Machine m : machines.values()) {
-      if (m.life == Life.UP && m.everReported && !m.lost) {
-        up++;
-        if (m.heard.isBefore(limit)) {
-          silent++;
+      if (m.life == Life.UP && m.everReported) {
+        byZone.merge(m.zone, spoke(m).isBefore(limit) ? 1 : -1, Integer::sum);
+        if (!m.lost) {
+          up++;
+          silent += m.heard.isBefore(limit) ? 1 : 0;
         }
       }
     }
-    return new Silence(silent <= Math.max(2, up / 6) && silent * 2 < up, silent * 2 < up);
+    byZone.values().removeIf(n -> n <= 0);
+    return new Silence(
+        silent <= Math.max(2, up / 6) && silent * 2 < up, silent * 2 < up, byZone.keySet());
+  }
+
+  /** When a machine was last heard; one that a new leader has not heard yet counts from its win. */
+  private Instant spoke(Machine m) {
+    return m.heard.isAfter(wonAt) ? m.heard : wonAt;
   }
 
   /** Takes back what was decided for a machine that turned bad before the start was sent. */
@@ -1956,6 +1972,7 @@
                 waiting(now),
                 uses(),
                 types.values(),
+                silence(now).zones,
                 mayGiveBack),
             now);
     plan.hires()
