Let controllers stand still in the simulated world, also between deciding and sending

On waking what was to be sent goes out first, then all timers run, then what came in is read, as on real processes.

--- a/src/test/java/io/pearscale/sim/RandomRunsTest.java
+++ b/src/test/java/io/pearscale/sim/RandomRunsTest.java
@@ -89,7 +89,7 @@
     String node = "hive-" + r.nextInt(3);
     String machine = "m-00000" + r.nextInt(6);
     String hold = r.nextBoolean() ? " hold" : "";
-    switch (r.nextInt(16)) {
+    switch (r.nextInt(19)) {
       case 0 -> s.append("at %.2f crash %s\nat %.2f start %s\n".formatted(at, node, end, node));
       case 1 -> s.append("at %.2f crash all\nat %.2f start all\n".formatted(at, at + 3));
       case 2 ->
@@ -136,6 +136,10 @@
         }
       }
       case 14 -> s.append("at %.2f reboot %s\n".formatted(at, machine));
+      case 16, 17 ->
+          s.append(
+              "at %.2f freeze %s %.2f%s\n"
+                  .formatted(at, node, 1 + r.nextDouble() * 35, r.nextBoolean() ? " midway" : ""));
       case 8 -> s.append("at %.2f refuse %s\nat %.2f serve %s\n".formatted(at, node, end, node));
       default ->
           s.append(
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -210,6 +210,8 @@
       case "resubmit" -> world.users.get(w.get(1)).submit();
       case "cancel" -> world.users.get(w.get(1)).cancel();
       case "crash" -> nodes(w.get(1)).forEach(SimNode::crash);
+      case "freeze" ->
+          nodes(w.get(1)).forEach(n -> n.freeze(seconds(w.get(2)), w.contains("midway")));
       case "start" -> nodes(w.get(1)).forEach(SimNode::start);
       case "cut" -> world.cut(name(w.get(1)), name(w.get(2)), w.contains("hold"));
       case "heal" -> world.heal(name(w.get(1)), name(w.get(2)));
--- a/src/test/java/io/pearscale/sim/SimNode.java
+++ b/src/test/java/io/pearscale/sim/SimNode.java
@@ -9,8 +9,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -25,6 +27,13 @@
   private Controller controller;
   private final Map<String, Instant> heard = new HashMap<>();
 
+  // Standing still: what was about to be sent, timers that came due, what came in.
+  private Instant frozenUntil = Instant.MIN;
+  private Optional<Duration> freezesAtNextSend = Optional.empty();
+  private final List<Runnable> unsent = new ArrayList<>();
+  private final List<Runnable> dueTimers = new ArrayList<>();
+  private final List<Runnable> unread = new ArrayList<>();
+
   /** How fast the steady clock runs. */
   double drift = 1.0;
 
@@ -56,7 +65,7 @@
           delay,
           () -> {
             if (alive()) {
-              task.run();
+              unlessFrozen(dueTimers, task);
             }
           });
     }
@@ -75,18 +84,20 @@
         JsonNode body,
         Duration timeout,
         Consumer<Reply> answer) {
-      world.request(
-          name,
-          address,
-          method,
-          path,
-          body,
-          timeout,
-          r -> {
-            if (alive()) {
-              answer.accept(r);
-            }
-          });
+      sending(
+          () ->
+              world.request(
+                  name,
+                  address,
+                  method,
+                  path,
+                  body,
+                  timeout,
+                  r -> {
+                    if (alive()) {
+                      unlessFrozen(unread, () -> answer.accept(r));
+                    }
+                  }));
     }
 
     @Override
@@ -96,7 +107,7 @@
       }
       SimNode to = world.nodes.get(peer);
       world.records++;
-      world.carry(name, peer, () -> to.fromPeer(name, frame));
+      sending(() -> world.carry(name, peer, () -> to.fromPeer(name, frame)));
       return true;
     }
 
@@ -115,14 +126,82 @@
 
   private void fromPeer(String peer, byte[] frame) {
     if (controller != null) {
-      heard.put(peer, world.now);
-      controller.fromPeer(peer, frame);
+      unlessFrozen(
+          unread,
+          () -> {
+            heard.put(peer, world.now);
+            controller.fromPeer(peer, frame);
+          });
+    }
+  }
+
+  /**
+   * The process stands still for so long while its clocks run on.
+   *
+   * @param midway it stops between deciding and sending: the next message waits, all else with it
+   */
+  void freeze(Duration time, boolean midway) {
+    if (controller != null) {
+      freezesAtNextSend = midway ? Optional.of(time) : Optional.empty();
+      if (!midway) {
+        freezeNow(time);
+      }
+    }
+  }
+
+  private void freezeNow(Duration time) {
+    int mine = life;
+    frozenUntil = world.now.plus(time);
+    world.note(name + " stands still");
+    world.at(
+        frozenUntil,
+        () -> {
+          if (mine == life) {
+            world.note(name + " goes on");
+            wake();
+          }
+        });
+  }
+
+  private boolean frozen() {
+    return world.now.isBefore(frozenUntil);
+  }
+
+  private void unlessFrozen(List<Runnable> queue, Runnable task) {
+    if (frozen()) {
+      queue.add(task);
+    } else {
+      task.run();
     }
   }
 
+  private void sending(Runnable message) {
+    freezesAtNextSend.ifPresent(this::freezeNow);
+    freezesAtNextSend = Optional.empty();
+    unlessFrozen(unsent, message);
+  }
+
+  /** As a real process does: all timers that are due run before anything is read. */
+  private void wake() {
+    for (List<Runnable> queue : List.of(unsent, dueTimers, unread)) {
+      List<Runnable> tasks = List.copyOf(queue);
+      queue.clear();
+      tasks.forEach(t -> unlessFrozen(queue, t));
+    }
+  }
+
+  private void forget() {
+    heard.clear();
+    frozenUntil = Instant.MIN;
+    freezesAtNextSend = Optional.empty();
+    unsent.clear();
+    dueTimers.clear();
+    unread.clear();
+  }
+
   void start() {
     life++;
-    heard.clear();
+    forget();
     Process p = new Process();
     controller =
         new Controller(
@@ -139,6 +218,7 @@
 
   void crash() {
     life++;
+    forget();
     controller = null;
     world.note(name + " crashes");
     // Its sockets close; a peer that dials again is refused.
@@ -178,14 +258,19 @@
       return;
     }
     int mine = life;
-    controller.request(
-        method,
-        path,
-        body.isMissingNode() ? Optional.empty() : Optional.of(body),
-        r -> {
-          if (mine == life) {
-            answer.accept(new Calls.Reply(r.status(), r.body()));
-          }
-        });
+    unlessFrozen(
+        unread,
+        () ->
+            controller.request(
+                method,
+                path,
+                body.isMissingNode() ? Optional.empty() : Optional.of(body),
+                r ->
+                    sending(
+                        () -> {
+                          if (mine == life) {
+                            answer.accept(new Calls.Reply(r.status(), r.body()));
+                          }
+                        })));
   }
 }
