Take victims from the job whose turn comes last

A job is over with its last task.

Among places with as few and as low victims (and the image), the one wins whose victims' job is last in the order in which waiting jobs are decided: as the users wish, as a class and not one by one. Ruled out: free machines (none), the order of those that wait (by what is left).

--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -115,6 +115,7 @@
   private final Set<Hunt> barren = new HashSet<>();
   private final Map<String, Use> uses;
   private final Function<JobSpec, Optional<Duration>> startWithin;
+  private final Comparator<Job> turns;
   private final Instant heardSince;
   private final List<Machine> machines;
   private final Order open;
@@ -129,6 +130,7 @@
    *     any of them are met only in search of victims
    * @param uses what each team may have on machines, all doubt counted as use
    * @param startWithin in which time tasks like these are expected to start, if any
+   * @param turns the order of jobs of one priority: the last is the first to make room
    * @param heardSince machines heard since then are sure to be reached
    */
   Placer(
@@ -139,6 +141,7 @@
       Collection<Job> waiting,
       Map<String, Use> uses,
       Function<JobSpec, Optional<Duration>> startWithin,
+      Comparator<Job> turns,
       Instant heardSince,
       Instant now) {
     this.now = now;
@@ -148,6 +151,7 @@
     this.machines = machines;
     this.uses = uses;
     this.startWithin = startWithin;
+    this.turns = turns;
     this.heardSince = heardSince;
     double cpus = Double.MAX_VALUE;
     double memoryGb = Double.MAX_VALUE;
@@ -547,7 +551,12 @@
         && m.images.containsKey(v.image());
   }
 
-  private static boolean better(List<Placement> victims, Machine m, Choice best, Job job) {
+  /**
+   * Fewest victims, then lowest. Among equals those of the job whose turn comes last: a job is over
+   * with its last task, so one task stopped of each of many jobs makes all of them late, where many
+   * tasks of one job make one late.
+   */
+  private boolean better(List<Placement> victims, Machine m, Choice best, Job job) {
     Priority a = highest(victims);
     Priority b = highest(best.victims());
     if (victims.size() != best.victims().size()) {
@@ -556,8 +565,16 @@
     if (a != b) {
       return a.compareTo(b) < 0;
     }
-    return m.images.containsKey(job.spec.image())
-        && !best.machine().images.containsKey(job.spec.image());
+    boolean cached = m.images.containsKey(job.spec.image());
+    if (cached != best.machine().images.containsKey(job.spec.image())) {
+      return cached;
+    }
+    return turns.compare(first(victims), first(best.victims())) > 0;
+  }
+
+  /** Of the jobs that would lose a task the one whose turn comes first. */
+  private Job first(List<Placement> victims) {
+    return victims.stream().map(p -> p.job).min(turns).orElseThrow();
   }
 
   private static Priority highest(List<Placement> victims) {
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -1038,31 +1038,47 @@
     return j.submitted.plus(Duration.ofHours(1));
   }
 
+  /**
+   * Whose turn it is, among jobs of one priority: first what can still be over in time, then what
+   * is due first.
+   */
+  private record Turn(int lateness, Instant due) implements Comparable<Turn> {
+    @Override
+    public int compareTo(Turn other) {
+      int c = Integer.compare(lateness, other.lateness);
+      return c != 0 ? c : due.compareTo(other.due);
+    }
+  }
+
+  private Turn turn(Job j, Instant now) {
+    Instant due = due(j);
+    Instant end = now.plus(j.spec.estimate());
+    Duration allowed = Duration.between(j.submitted, due);
+    int lateness =
+        j.spec.service() || !end.isAfter(due)
+            ? 0
+            : end.isAfter(j.submitted.plus(allowed.multipliedBy(3).dividedBy(2))) ? 2 : 1;
+    return new Turn(lateness, j.spec.service() ? j.submitted : order(j, due));
+  }
+
   /** Waiting jobs, in the order in which they are decided. */
   private List<Job> waiting(Instant now) {
-    record Ranked(Job job, int band, int lateness, Instant due) {}
+    record Ranked(Job job, int band, Turn turn) {}
     List<Ranked> ranked = new ArrayList<>();
     for (Job j : queue) {
       if (!now.isBefore(j.notBefore)) {
-        Instant due = due(j);
-        Instant end = now.plus(j.spec.estimate());
-        Duration allowed = Duration.between(j.submitted, due);
-        int lateness =
-            j.spec.service() || !end.isAfter(due)
-                ? 0
-                : end.isAfter(j.submitted.plus(allowed.multipliedBy(3).dividedBy(2))) ? 2 : 1;
+        Turn turn = turn(j, now);
         boolean begins = begins(j, now);
         // In the top band nothing goes before the order of the design; below it, what has waited
         // for long without a single task running gets one of them started first.
         int band = j.spec.priority() == Priority.CRITICAL ? 0 : begins ? 1 : 2;
-        ranked.add(new Ranked(j, band, begins ? 0 : lateness, order(j, due)));
+        ranked.add(new Ranked(j, band, begins ? new Turn(0, turn.due) : turn));
       }
     }
     ranked.sort(
         Comparator.comparingInt((Ranked r) -> r.band)
             .thenComparing(r -> r.job.spec.priority(), Comparator.reverseOrder())
-            .thenComparing(r -> r.lateness)
-            .thenComparing(r -> r.job.spec.service() ? r.job.submitted : r.due)
+            .thenComparing(r -> r.turn)
             .thenComparing(r -> r.job.spec.id()));
     List<Job> result = new ArrayList<>();
     ranked.forEach(r -> result.add(r.job));
@@ -1127,6 +1143,7 @@
               waiting,
               uses(),
               classes::startWithin,
+              Comparator.comparing(j -> turn(j, now)),
               heardSince,
               now);
       Set<Machine> touched = new LinkedHashSet<>();
