Put tasks of a batch job together on few machines

An array of 25 tasks was on 12 machines in the mean (2.1 tasks each), so each lost machine made up to 16 arrays late.

The design's cost per task of the same job on a machine stays for services, which serve on when one machine is lost. A batch job is over with its last task: what is left of a machine counts after all its waiting tasks that fit, and a machine that takes many of them wins (together-weight).

--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -366,10 +366,13 @@
   private double score(Job job, Machine m) {
     Room r = room(m);
     JobSpec s = job.spec;
-    double stranded = (r.cpus - s.cpus()) / Math.max(1e-9, m.type.cpus());
-    stranded += (r.memoryGb - s.memoryGb()) / Math.max(1e-9, m.type.memoryGb());
+    // Waiting tasks of a batch job are alike and would all go where the first one goes: what counts
+    // is the room that is left after them.
+    int coming = s.service() ? 1 : Math.max(1, Math.min(r.count(job), job.pending()));
+    double stranded = (r.cpus - coming * s.cpus()) / Math.max(1e-9, m.type.cpus());
+    stranded += (r.memoryGb - coming * s.memoryGb()) / Math.max(1e-9, m.type.memoryGb());
     if (m.type.gpus() > 0) {
-      stranded += (r.gpus - s.gpus()) / m.type.gpus();
+      stranded += (r.gpus - coming * s.gpus()) / m.type.gpus();
     }
     int onMachine = 0;
     for (Placement p : m.placements.values()) {
@@ -377,9 +380,16 @@
         onMachine++;
       }
     }
+    // A service serves on when one machine is lost, so it spreads. A batch job is over with its
+    // last
+    // task: the fewer machines it is on, the fewer jobs the loss of one makes late.
+    double mates =
+        s.service()
+            ? tuning.sameMachineWeight() * onMachine
+            : -tuning.togetherWeight() * (onMachine + coming);
     int inZone = job.inZone(m.zone);
     return tuning.strandedWeight() * stranded
-        + tuning.sameMachineWeight() * onMachine / Math.max(1, s.tasks())
+        + mates / Math.max(1, s.tasks())
         + tuning.sameZoneWeight() * inZone / Math.max(1, s.tasks())
         + tuning.zoneBalanceWeight() * crowding(job, m.zone)
         - (m.images.containsKey(s.image()) ? tuning.imageWeight() * fetchShare(job, m) : 0)
--- a/src/main/java/io/pearscale/bookkeeping/Tuning.java
+++ b/src/main/java/io/pearscale/bookkeeping/Tuning.java
@@ -8,7 +8,8 @@
  *
  * @param sample feasible machines to find before the best is taken
  * @param strandedWeight cost of room left over on a machine, per resource
- * @param sameMachineWeight cost per task of the same job on the machine
+ * @param sameMachineWeight cost per task of the same service on the machine
+ * @param togetherWeight bonus of a machine on which many tasks of the same batch job would be
  * @param sameZoneWeight cost per task of the same job in the zone
  * @param zoneBalanceWeight cost of using a zone that has less room left than the roomiest
  * @param imageWeight bonus of a cached image
@@ -23,6 +24,7 @@
     int sample,
     double strandedWeight,
     double sameMachineWeight,
+    double togetherWeight,
     double sameZoneWeight,
     double zoneBalanceWeight,
     double imageWeight,
@@ -34,6 +36,7 @@
 
   /** The defaults. */
   public static Tuning defaults() {
-    return new Tuning(24, 1.0, 0.3, 0.1, 0.5, 3.0, 0.3, Duration.ofSeconds(30), 0.25, 0.05, 1.15);
+    return new Tuning(
+        24, 1.0, 0.3, 1.5, 0.1, 0.5, 3.0, 0.3, Duration.ofSeconds(30), 0.25, 0.05, 1.15);
   }
 }
--- a/src/main/java/io/pearscale/cli/TuningReader.java
+++ b/src/main/java/io/pearscale/cli/TuningReader.java
@@ -21,6 +21,7 @@
     KNOWN.put("sample", new Range(1, 1000));
     KNOWN.put("stranded-weight", new Range(0, 100));
     KNOWN.put("same-machine-weight", new Range(0, 100));
+    KNOWN.put("together-weight", new Range(0, 100));
     KNOWN.put("same-zone-weight", new Range(0, 100));
     KNOWN.put("zone-balance-weight", new Range(0, 100));
     KNOWN.put("image-weight", new Range(0, 100));
@@ -43,6 +44,7 @@
         (int) (double) values.getOrDefault("sample", (double) d.sample()),
         values.getOrDefault("stranded-weight", d.strandedWeight()),
         values.getOrDefault("same-machine-weight", d.sameMachineWeight()),
+        values.getOrDefault("together-weight", d.togetherWeight()),
         values.getOrDefault("same-zone-weight", d.sameZoneWeight()),
         values.getOrDefault("zone-balance-weight", d.zoneBalanceWeight()),
         values.getOrDefault("image-weight", d.imageWeight()),
