--- a/src/test/java/io/pearscale/sim/ElectionTest.java
+++ b/src/test/java/io/pearscale/sim/ElectionTest.java
@@ -7,10 +7,8 @@
 import io.pearscale.protocol.Settings;
 import io.pearscale.storage.StateClient;
 import io.pearscale.transport.Calls;
-import io.pearscale.transport.Loop;
 import java.time.Duration;
 import java.time.Instant;
-import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -21,8 +19,7 @@
 import org.junit.jupiter.api.Test;
 
 /** An election whose news come late, and what peers say meanwhile. */
-class ElectionTest implements Loop, Calls, ElectionActor.Listener {
-  private final World world = new World(1);
+class ElectionTest extends WorldLoop implements Calls, ElectionActor.Listener {
   private final List<String> told = new ArrayList<>();
   private boolean holdCommits;
   private Runnable held = () -> {};
@@ -72,21 +69,6 @@
     assertEquals(List.of(), told);
   }
 
-  @Override
-  public void execute(Runnable task) {
-    world.after(Duration.ZERO, task);
-  }
-
-  @Override
-  public void after(Duration delay, Runnable task) {
-    world.after(delay, task);
-  }
-
-  @Override
-  public InstantSource clock() {
-    return () -> world.now;
-  }
-
   @Override
   public void call(
       String address,
--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -16,9 +16,7 @@
 import io.pearscale.storage.Roster;
 import io.pearscale.storage.StateClient;
 import io.pearscale.transport.Calls;
-import io.pearscale.transport.Loop;
 import java.time.Duration;
-import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.BitSet;
@@ -36,10 +34,9 @@
  * Plays a script against the leader's core alone: each message to it is written out, and so is what
  * it must answer. For what can't be met by chance in a whole simulated world.
  */
-final class LeaderScript implements Loop, Calls {
+final class LeaderScript extends WorldLoop implements Calls {
   private record Pending(String path, JsonNode body, Consumer<Reply> answer) {}
 
-  private final World world = new World(1);
   private final SchedulerActor core;
   private final StateClient client;
   private final Map<String, Pending> direct = new TreeMap<>();
@@ -418,21 +415,6 @@
 
   // ---- The seams ----
 
-  @Override
-  public void execute(Runnable task) {
-    world.after(Duration.ZERO, task);
-  }
-
-  @Override
-  public void after(Duration delay, Runnable task) {
-    world.after(delay, task);
-  }
-
-  @Override
-  public InstantSource clock() {
-    return () -> world.now;
-  }
-
   @Override
   public void call(
       String address,
