Work out an image's fetch time in one place, and a job's turn once a pass

And since victims are taken by their jobs' turns, each comparison of two of them worked both turns out anew, sorting the class's last sizes each time, in the passes that have most to do; and the order of those that wait had worked them out before. A pass now keeps them. Nothing is decided otherwise.

--- a/src/main/java/io/pearscale/bookkeeping/JobClasses.java
+++ b/src/main/java/io/pearscale/bookkeeping/JobClasses.java
@@ -1,6 +1,5 @@
 package io.pearscale.bookkeeping;
 
-import io.pearscale.protocol.Fields;
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Settings.Objective;
@@ -58,20 +57,16 @@
     }
     return types.stream()
         .filter(spec::allowsSomewhere)
-        .map(t -> Renter.bootTime(t).plus(fetch(spec, t)).plus(MESSAGES))
+        .map(t -> Renter.bootTime(t).plus(t.fetchTime(spec.imageGb())).plus(MESSAGES))
         .noneMatch(need -> need.compareTo(within.get()) <= 0);
   }
 
   /** Whether a start on a machine of the type would be late if it waited for the victim to save. */
   boolean tooLateIfSaved(JobSpec spec, JobSpec victim, MachineType type) {
-    Duration need = victim.save().plus(fetch(spec, type)).plus(MESSAGES);
+    Duration need = victim.save().plus(type.fetchTime(spec.imageGb())).plus(MESSAGES);
     return startWithin(spec).filter(w -> w.compareTo(need) < 0).isPresent();
   }
 
-  private static Duration fetch(JobSpec spec, MachineType type) {
-    return Fields.duration(spec.imageGb() / Math.max(1e-3, type.fetchGbPerSecond()));
-  }
-
   /** Tasks of a large job of the class, as seen lately: nine of ten have no more. */
   int largeJob(String jobClass) {
     int[] sorted = sizes.get(jobClass).stream().mapToInt(n -> n).sorted().toArray();
--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/bookkeeping/Placer.java
@@ -309,10 +309,9 @@
   private Optional<Choice> evictForImage(Job job, Machine free) {
     JobSpec s = job.spec;
     Optional<Duration> within = startWithin.apply(s);
-    double fetch = s.imageGb() / Math.max(1e-3, free.type.fetchGbPerSecond());
     if (within.isEmpty()
         || free.images.containsKey(s.image())
-        || fetch <= Fields.seconds(within.get())) {
+        || free.type.fetchTime(s.imageGb()).compareTo(within.get()) <= 0) {
       return Optional.empty();
     }
     Hunt hunt = hunt(job, Optional.of(s.image()));
@@ -381,8 +380,7 @@
       }
     }
     // A service serves on when one machine is lost, so it spreads. A batch job is over with its
-    // last
-    // task: the fewer machines it is on, the fewer jobs the loss of one makes late.
+    // last task: the fewer machines it is on, the fewer jobs the loss of one makes late.
     double mates =
         s.service()
             ? tuning.sameMachineWeight() * onMachine
@@ -418,7 +416,7 @@
    * vain.
    */
   private static double fetchShare(Job job, Machine m) {
-    double fetch = job.spec.imageGb() / Math.max(1e-3, m.type.fetchGbPerSecond());
+    double fetch = Fields.seconds(m.type.fetchTime(job.spec.imageGb()));
     double run = job.spec.service() ? 1 : Fields.seconds(job.spec.estimate());
     return fetch / Math.max(1e-3, fetch + run);
   }
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -52,6 +52,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 import org.HdrHistogram.Histogram;
@@ -1050,6 +1051,12 @@
     }
   }
 
+  /** The jobs' turns as of now, each worked out when it is first asked for. */
+  private Function<Job, Turn> turns(Instant now) {
+    Map<Job, Turn> known = new HashMap<>();
+    return j -> known.computeIfAbsent(j, k -> turn(k, now));
+  }
+
   private Turn turn(Job j, Instant now) {
     Instant due = due(j);
     Instant end = now.plus(j.spec.estimate());
@@ -1062,12 +1069,12 @@
   }
 
   /** Waiting jobs, in the order in which they are decided. */
-  private List<Job> waiting(Instant now) {
+  private List<Job> waiting(Instant now, Function<Job, Turn> turns) {
     record Ranked(Job job, int band, Turn turn) {}
     List<Ranked> ranked = new ArrayList<>();
     for (Job j : queue) {
       if (!now.isBefore(j.notBefore)) {
-        Turn turn = turn(j, now);
+        Turn turn = turns.apply(j);
         boolean begins = begins(j, now);
         // In the top band nothing goes before the order of the design; below it, what has waited
         // for long without a single task running gets one of them started first.
@@ -1125,7 +1132,8 @@
   private void pass() {
     Instant now = now();
     long began = System.nanoTime();
-    List<Job> waiting = waiting(now);
+    Function<Job, Turn> turns = turns(now);
+    List<Job> waiting = waiting(now, turns);
     if (!waiting.isEmpty()) {
       List<Machine> usable = new ArrayList<>();
       for (Machine m : machines.values()) {
@@ -1143,7 +1151,7 @@
               waiting,
               uses(),
               classes::startWithin,
-              Comparator.comparing(j -> turn(j, now)),
+              Comparator.comparing(turns),
               heardSince,
               now);
       Set<Machine> touched = new LinkedHashSet<>();
@@ -1986,7 +1994,7 @@
                 machines.values(),
                 m -> placeable(m, now),
                 jobs.values(),
-                waiting(now),
+                waiting(now, turns(now)),
                 uses(),
                 types.values(),
                 silence(now).zones,
--- a/src/main/java/io/pearscale/protocol/MachineType.java
+++ b/src/main/java/io/pearscale/protocol/MachineType.java
@@ -20,6 +20,11 @@
     Duration boot,
     List<String> zones) {
 
+  /** How long such a machine takes to fetch an image of that size, if it fetches nothing else. */
+  public Duration fetchTime(double gb) {
+    return Fields.duration(gb / Math.max(1e-3, fetchGbPerSecond));
+  }
+
   /** Reads a catalogue; lines that break the protocol are left out. */
   public static List<MachineType> parseAll(JsonNode body) {
     List<MachineType> result = new ArrayList<>();
