Let the renewing leader know of every cancel that was told

Cause, found by reading the code along every way in which a cancelled task can go on, and brought about by tests: - A controller confirms a cancel, ends, and has loaded the keys again before the state service goes out: its word named only what its present life had told, so the refused leader renewed those tasks for as long as the outage lasted. A peer that has loaded later than the leader's copy ends now names all that is live. (word-extends-only-what-holds) - A job known as cancelled came back with a change that had been under way. (cancel-is-final) - A cancelled task was let save, also after a hang. (cancelled-does-not-save) - Tasks of a cancelled job on machines that can't be asked did not count for their team's limit after a change of leader, nor after the marks were written anew: a cancelled job is described nowhere. The marks of limited teams now say what a task takes and stay until the last is gone. (quota-counts-cancelled, marks-outlive-cancelled) - A machine that answers commands but reports to nobody got starts, and lost them with its lease. (machine-mute, machines-mute) Whoever confirms a cancel also tells the other controllers at once, before the user, so that a refused leader stops the tasks without asking.

The stand-in for the state service lets the open watches of a refused controller wait, as the protocol says.

--- a/src/main/java/io/pearscale/bookkeeping/ApiActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/ApiActor.java
@@ -30,6 +30,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
@@ -61,8 +62,11 @@
   /** Keys changed. */
   public record Changed(List<KeyChange> changes) implements Message {}
 
-  /** Asks which jobs this controller has told as cancelled lately. */
-  public record Recent(Consumer<List<String>> answer) implements Message {}
+  /** Asks which jobs this controller has told as cancelled lately, and which are live. */
+  public record Recent(BiConsumer<List<String>, List<String>> answer) implements Message {}
+
+  /** A peer says that it tells a job as cancelled: durable, so it may be told here as well. */
+  public record Cancelled(String job) implements Message {}
 
   /** The leader's counts, for display. */
   public record Counts(List<JobCount> jobs) implements Message {}
@@ -95,6 +99,7 @@
   private final ReplicaActor replica;
   private final Settings settings;
   private final InstantSource timeOfDay;
+  private final Consumer<String> cancelled;
   private final Map<String, Team> teams = new HashMap<>();
   private final Map<String, JobCount> counts = new HashMap<>();
   private final Set<String> live = new HashSet<>();
@@ -112,18 +117,24 @@
         }
       };
 
-  /** Answers from the state service and its replica. */
+  /**
+   * Answers from the state service and its replica.
+   *
+   * @param cancelled is told of each job that users are about to be told as cancelled
+   */
   public ApiActor(
       Loop loop,
       StateClient state,
       ReplicaActor replica,
       Settings settings,
-      InstantSource timeOfDay) {
+      InstantSource timeOfDay,
+      Consumer<String> cancelled) {
     super(loop);
     this.state = state;
     this.replica = replica;
     this.settings = settings;
     this.timeOfDay = timeOfDay;
+    this.cancelled = cancelled;
     settings.teams().forEach(t -> teams.put(t.name(), t));
   }
 
@@ -148,7 +159,11 @@
         counts.keySet().retainAll(live);
       }
     } else if (message instanceof Recent m) {
-      m.answer.accept(recent());
+      m.answer.accept(recent(), List.copyOf(live));
+    } else if (message instanceof Cancelled m) {
+      past.put(m.job, new Past("withdrawn", 0));
+      live.remove(m.job);
+      withdrawn.put(m.job, loop.clock().instant());
     } else if (message instanceof Created m) {
       created(m);
     } else if (message instanceof Withdrawn m) {
@@ -320,9 +335,14 @@
     }
   }
 
+  /**
+   * Users are about to be told that the job is cancelled. The word goes to all controllers first:
+   * the leader may not hear of it from the state service, and should this process end, another
+   * still knows.
+   */
   private void noteWithdrawn(String id, Past p) {
-    if (p.stage.equals("withdrawn")) {
-      withdrawn.put(id, loop.clock().instant());
+    if (p.stage.equals("withdrawn") && withdrawn.put(id, loop.clock().instant()) == null) {
+      cancelled.accept(id);
     }
   }
 
--- a/src/main/java/io/pearscale/bookkeeping/Controller.java
+++ b/src/main/java/io/pearscale/bookkeeping/Controller.java
@@ -9,6 +9,7 @@
 import io.pearscale.protocol.PeerMessage.ForwardedAnswer;
 import io.pearscale.protocol.PeerMessage.ForwardedReport;
 import io.pearscale.protocol.PeerMessage.Heartbeat;
+import io.pearscale.protocol.PeerMessage.LiveJobs;
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.ReportAnswer;
 import io.pearscale.protocol.Settings;
@@ -60,6 +61,11 @@
   private long term;
   private Optional<String> leader = Optional.empty();
   private boolean loaded;
+
+  /** How new the copy of the keys was when it was first loaded, and how new it is. */
+  private long loadEpoch;
+
+  private long copyEpoch;
   private Instant started = Instant.EPOCH;
 
   /** Wires a controller; {@link #start} sets it going. */
@@ -76,7 +82,17 @@
     this.links = links;
     this.state = new StateClient(loop, calls, settings);
     this.replica = new ReplicaActor(loop, state, random);
-    this.api = new ApiActor(loop, state, replica, settings, timeOfDay);
+    this.api =
+        new ApiActor(
+            loop,
+            state,
+            replica,
+            settings,
+            timeOfDay,
+            job -> {
+              sendAll(new PeerMessage.Cancelled(job));
+              cancelled(job);
+            });
     this.election =
         new ElectionActor(loop, state, settings, random, List.of(new ElectionListener()));
     this.scheduler =
@@ -112,7 +128,9 @@
   private final class ReplicaListener implements ReplicaActor.Listener {
     @Override
     public void loaded(Map<String, Entry> all, long epoch) {
+      loadEpoch = loaded ? loadEpoch : epoch;
       loaded = true;
+      copyEpoch = epoch;
       scheduler.tell(new SchedulerActor.Loaded(all, epoch));
       api.tell(new ApiActor.Loaded(all));
       election.tell(new ElectionActor.Loaded(all));
@@ -120,6 +138,7 @@
 
     @Override
     public void changed(List<KeyChange> changes, long epoch) {
+      copyEpoch = epoch;
       scheduler.tell(new SchedulerActor.Changed(changes, epoch));
       api.tell(new ApiActor.Changed(changes));
       election.tell(new ElectionActor.Changed(changes));
@@ -143,8 +162,8 @@
     }
 
     @Override
-    public void vouched(Instant evidence, Set<String> withdrawn) {
-      scheduler.tell(new SchedulerActor.Vouched(evidence, withdrawn));
+    public void vouched(Instant evidence, Set<String> cancelled, List<LiveJobs> live) {
+      scheduler.tell(new SchedulerActor.Vouched(evidence, cancelled, live));
     }
 
     @Override
@@ -154,13 +173,15 @@
 
     @Override
     public void ask(long nonce) {
-      byte[] frame = PeerMessage.encode(new PeerMessage.Question(nonce));
-      settings.peers().keySet().forEach(p -> links.send(p, frame));
+      sendAll(new PeerMessage.Question(nonce, copyEpoch));
       // What this controller told itself counts as well: the watch may not have shown it yet.
       long known = term;
       api.tell(
           new ApiActor.Recent(
-              ids -> tellElection(new ElectionActor.Vouched(settings.host(), nonce, known, ids))));
+              (cancelled, live) ->
+                  tellElection(
+                      new ElectionActor.Vouched(
+                          settings.host(), nonce, known, cancelled, Optional.empty()))));
     }
 
     @Override
@@ -178,10 +199,18 @@
 
   private void counts(List<PeerMessage.JobCount> jobs) {
     api.tell(new ApiActor.Counts(jobs));
-    byte[] frame = PeerMessage.encode(new Counts(jobs));
+    sendAll(new Counts(jobs));
+  }
+
+  private void sendAll(PeerMessage message) {
+    byte[] frame = PeerMessage.encode(message);
     settings.peers().keySet().forEach(p -> links.send(p, frame));
   }
 
+  private void cancelled(String job) {
+    scheduler.tell(new SchedulerActor.Cancelled(job));
+  }
+
   /** Begins to work. */
   public void start() {
     started = loop.clock().instant();
@@ -199,8 +228,7 @@
   }
 
   private void heartbeat() {
-    byte[] frame = PeerMessage.encode(new Heartbeat(term, leader.orElse(""), storeOk()));
-    settings.peers().keySet().forEach(p -> links.send(p, frame));
+    sendAll(new Heartbeat(term, leader.orElse(""), storeOk()));
     loop.after(HEARTBEAT, this::heartbeat);
   }
 
@@ -226,15 +254,13 @@
       election.tell(new ElectionActor.Heard(peer, m.term(), m.leader()));
     } else if (message instanceof PeerMessage.Question m) {
       if (loaded) {
-        long known = term;
-        api.tell(
-            new ApiActor.Recent(
-                ids ->
-                    links.send(
-                        peer, PeerMessage.encode(new PeerMessage.Vouch(m.nonce(), known, ids)))));
+        vouch(peer, m);
       }
     } else if (message instanceof PeerMessage.Vouch m) {
-      election.tell(new ElectionActor.Vouched(peer, m.nonce(), m.term(), m.withdrawn()));
+      election.tell(new ElectionActor.Vouched(peer, m.nonce(), m.term(), m.cancelled(), m.live()));
+    } else if (message instanceof PeerMessage.Cancelled m) {
+      api.tell(new ApiActor.Cancelled(m.job()));
+      cancelled(m.job());
     } else if (message instanceof ForwardedReport m) {
       local(
           m.report(),
@@ -247,6 +273,28 @@
     }
   }
 
+  /**
+   * Gives the leader our word. What a former life of this process told users is in no list of ours,
+   * but it was durable before our copy was loaded. So a leader whose copy is older than that also
+   * gets all that is live.
+   */
+  private void vouch(String peer, PeerMessage.Question q) {
+    long known = term;
+    long epoch = copyEpoch;
+    boolean older = q.epoch() < loadEpoch;
+    api.tell(
+        new ApiActor.Recent(
+            (cancelled, live) ->
+                links.send(
+                    peer,
+                    PeerMessage.encode(
+                        new PeerMessage.Vouch(
+                            q.nonce(),
+                            known,
+                            cancelled,
+                            older ? Optional.of(new LiveJobs(epoch, live)) : Optional.empty())))));
+  }
+
   /** A peer refuses connections: its process may have ended. */
   public void peerEnded(String peer) {
     peers.remove(peer);
--- a/src/main/java/io/pearscale/bookkeeping/Job.java
+++ b/src/main/java/io/pearscale/bookkeeping/Job.java
@@ -1,6 +1,7 @@
 package io.pearscale.bookkeeping;
 
 import io.pearscale.protocol.JobSpec;
+import io.pearscale.protocol.Priority;
 import io.pearscale.storage.Marks;
 import java.time.Duration;
 import java.time.Instant;
@@ -8,6 +9,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /** A job that is not over, as the leader sees it. */
@@ -22,6 +24,9 @@
   final long stamp;
   final Instant submitted;
 
+  /** Whether its team may use only so much at any time. */
+  private final boolean limited;
+
   /** Tasks that are done; {@link #durableDone} says for which of them a successor would know. */
   final BitSet done = new BitSet();
 
@@ -44,7 +49,8 @@
   /** Whether the last pass found no place for one of its tasks. */
   boolean noRoom;
 
-  Job(JobSpec spec, long stamp, Instant submitted) {
+  Job(JobSpec spec, long stamp, Instant submitted, boolean limited) {
+    this.limited = limited;
     this.spec = spec;
     this.stamp = stamp;
     this.submitted = submitted;
@@ -113,7 +119,45 @@
 
   /** How large the marks of a part may become. */
   int marksSize(int part) {
-    return Marks.size(spec.id(), Math.min(Marks.PART, spec.tasks() - part * Marks.PART));
+    return Marks.size(spec.id(), Math.min(Marks.PART, spec.tasks() - part * Marks.PART))
+        + claim().map(Marks.Claim::size).orElse(0);
+  }
+
+  /** What its tasks take of their team's limit. */
+  Optional<Marks.Claim> claim() {
+    return limited
+        ? Optional.of(new Marks.Claim(spec.team(), spec.cpus(), spec.gpus(), spec.memoryGb()))
+        : Optional.empty();
+  }
+
+  /**
+   * What a former leader started of a job that is over by now. Nothing is known of it but the marks
+   * of one part; its tasks count for their team's limit until they are known to be gone.
+   */
+  static Job remains(Marks.Part p, Marks.Claim claim, Instant now) {
+    JobSpec spec =
+        new JobSpec(
+            p.job(),
+            "",
+            claim.team(),
+            /* service= */ true,
+            Priority.IDLE,
+            p.part() * Marks.PART + p.hosts().length,
+            claim.cpus(),
+            claim.gpus(),
+            claim.memoryGb(),
+            "",
+            0,
+            Optional.empty(),
+            Optional.empty(),
+            /* oneZone= */ false,
+            /* spread= */ false,
+            /* spot= */ true,
+            Duration.ZERO,
+            Duration.ZERO,
+            Duration.ZERO,
+            Optional.empty());
+    return new Job(spec, 0, now, /* limited= */ true);
   }
 
   /** Done tasks of a part, numbered from its first. */
--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -73,6 +73,9 @@
   boolean deleteSent;
   Instant heard = Instant.MIN;
 
+  /** When its last report came, which renews its lease; answers to commands don't. */
+  Instant reported = Instant.MIN;
+
   /** The lease ends at the latest when this, plus a lease, has passed. */
   Instant renewed;
 
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -12,6 +12,7 @@
 import io.pearscale.protocol.Malformed;
 import io.pearscale.protocol.Order;
 import io.pearscale.protocol.PeerMessage.JobCount;
+import io.pearscale.protocol.PeerMessage.LiveJobs;
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.Report.TaskReport;
@@ -82,6 +83,7 @@
   private static final Duration REPEAT = Duration.ofSeconds(2);
   private static final Duration DIRECT_PAUSE = Duration.ofSeconds(3);
   private static final int LEASES_OF_A_CUT = 10;
+  private static final int MOST_CANCELLED = 20_000;
   private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(6);
 
   /** What the actor understands. */
@@ -102,8 +104,12 @@
   /** It still led at that time. */
   public record Confirmed(Instant evidence) implements Message {}
 
-  /** The peers have said so; they told these jobs as cancelled. */
-  public record Vouched(Instant evidence, Set<String> withdrawn) implements Message {}
+  /** The peers have said so; they told these jobs as cancelled, and these are live. */
+  public record Vouched(Instant evidence, Set<String> cancelled, List<LiveJobs> live)
+      implements Message {}
+
+  /** Some controller is about to tell users that the job is cancelled. */
+  public record Cancelled(String job) implements Message {}
 
   /** It does not lead any more. */
   public record Lost(long term) implements Message {}
@@ -166,6 +172,10 @@
 
   // Kept on every controller, fed by the replica.
   private final Map<String, Job> jobs = new LinkedHashMap<>();
+
+  /** Jobs that are over although the copy may still show them as live, see {@link #cancelled}. */
+  private final Set<String> cancelled = new LinkedHashSet<>();
+
   private final Map<String, JsonNode> rawMarks = new TreeMap<>();
   private final Map<String, JsonNode> rawRoster = new TreeMap<>();
   private final Map<String, MachineType> types = new LinkedHashMap<>();
@@ -278,12 +288,11 @@
     } else if (message instanceof Won m) {
       won(m);
     } else if (message instanceof Confirmed m) {
-      evidence = m.evidence;
-    } else if (message instanceof Vouched m) {
-      // First what was cancelled, then the proof.
-      m.withdrawn.forEach(this::removeJob);
       evidence = m.evidence.isAfter(evidence) ? m.evidence : evidence;
-      fresh = m.evidence.isAfter(fresh) ? m.evidence : fresh;
+    } else if (message instanceof Cancelled m) {
+      cancelled(m.job);
+    } else if (message instanceof Vouched m) {
+      vouched(m);
     } else if (message instanceof Acknowledged m && leading && m.term == term) {
       acknowledged();
     } else if (message instanceof Lost) {
@@ -339,6 +348,7 @@
         addJob(c.entry().get());
       } else {
         removeJob(Keys.name(key));
+        cancelled.remove(Keys.name(key));
       }
     } else if (Keys.isMarks(key)) {
       c.entry().ifPresentOrElse(e -> rawMarks.put(key, e.value()), () -> rawMarks.remove(key));
@@ -369,7 +379,7 @@
   private void addJob(Entry e) {
     try {
       JobSpec spec = JobSpec.parse(e.value().path("spec"));
-      if (jobs.containsKey(spec.id())) {
+      if (jobs.containsKey(spec.id()) || cancelled.contains(spec.id())) {
         return;
       }
       Duration age =
@@ -378,7 +388,8 @@
       if (age.isNegative()) {
         age = Duration.ZERO;
       }
-      Job job = new Job(spec, e.stamp(), now().minus(age));
+      Team team = teams.get(spec.team());
+      Job job = new Job(spec, e.stamp(), now().minus(age), team != null && team.limited());
       jobs.put(spec.id(), job);
       classes.note(job);
       requeue(job);
@@ -387,22 +398,69 @@
     }
   }
 
+  /**
+   * The peers' word extends proofs that still hold: it names what was cancelled in the last two
+   * holds, and older cancels the copy must have shown. So a copy that has not been fresh for a hold
+   * is made good by the state service alone.
+   */
+  private void vouched(Vouched m) {
+    // First what was cancelled, then the proof.
+    m.cancelled.forEach(this::cancelled);
+    for (LiveJobs list : m.live) {
+      Set<String> live = Set.copyOf(list.jobs());
+      List.copyOf(jobs.values()).stream()
+          .filter(j -> j.stamp <= list.epoch() && !live.contains(j.spec.id()))
+          .forEach(j -> cancelled(j.spec.id()));
+    }
+    if (m.evidence.isBefore(fresh.plus(settings.hold()))) {
+      evidence = m.evidence.isAfter(evidence) ? m.evidence : evidence;
+      fresh = m.evidence.isAfter(fresh) ? m.evidence : fresh;
+    }
+  }
+
+  /**
+   * A job is over although our copy does not show it yet. It must not come back with a change that
+   * was long under way, nor with a copy that was read before the end: an end is final.
+   */
+  private void cancelled(String id) {
+    cancelled.add(id);
+    if (cancelled.size() > MOST_CANCELLED) {
+      cancelled.remove(cancelled.iterator().next());
+    }
+    removeJob(id);
+  }
+
   private void removeJob(String id) {
     Job job = jobs.remove(id);
     if (job == null || !leading) {
       return;
     }
-    queue.remove(job);
-    letGo(job);
+    over(job);
     for (Placement p : List.copyOf(job.placed.values())) {
+      // What a cancelled task has done is of no use to anybody: it does not save, and one that
+      // saves already, for whatever reason it was stopped, is told to end.
+      p.hurried = true;
+      p.kills = 0;
       doom(p);
+      eager.add(p.machine);
       kick(p.machine);
     }
   }
 
-  /** A job is over: its marks need no room any more. */
-  private void letGo(Job job) {
+  /**
+   * A job is over. Tasks of it that may still be somewhere count for their team's limit: until the
+   * last is gone the marks go on to name them, as a successor finds them nowhere else.
+   */
+  private void over(Job job) {
+    queue.remove(job);
     finishing.remove(job);
+    if (job.claim().isEmpty() || job.placed.isEmpty()) {
+      letGo(job);
+    }
+  }
+
+  /** The marks of a job need no room any more. */
+  private void letGo(Job job) {
     for (int p = 0; p < job.parts(); p++) {
       marks.remove(new Part(job, p));
     }
@@ -494,6 +552,8 @@
             Job j = jobs.get(p.job());
             if (j != null && p.part() >= 0 && p.part() < j.parts()) {
               fromMarks(j, p, numbered, Keys.number(key));
+            } else if (j == null && p.part() >= 0 && p.claim().isPresent()) {
+              remainsFromMarks(p, numbered, Keys.number(key));
             }
           }
         });
@@ -550,6 +610,16 @@
     }
   }
 
+  /** Takes over what may be left of a job that is over, see {@link #over}. */
+  private void remainsFromMarks(Marks.Part p, Map<Integer, Machine> numbered, int value) {
+    Job remains = Job.remains(p, p.claim().orElseThrow(), now());
+    fromMarks(remains, p, numbered, value);
+    remains.placed.values().forEach(x -> x.doomed = true);
+    if (remains.placed.isEmpty()) {
+      letGo(remains);
+    }
+  }
+
   private static MachineType unknownType(String name) {
     return new MachineType(name, 0, 0, 0, 0, 0.1, 0, 0, Duration.ofSeconds(60), List.of());
   }
@@ -606,6 +676,7 @@
       return ReportAnswer.UNAVAILABLE;
     }
     absorb(m, r, hears(m, r, via));
+    m.reported = now();
     m.renewed = now();
     m.via = via;
     List<Order> orders = m.settled && r.token() <= m.token ? orders(m, true) : List.of();
@@ -921,6 +992,9 @@
     if (p.ranFor(now()).compareTo(Job.A_START) >= 0) {
       p.job.begun = true;
     }
+    if (p.job.placed.isEmpty() && jobs.get(p.job.spec.id()) != p.job) {
+      letGo(p.job);
+    }
     requeue(p.job);
     schedule();
   }
@@ -1007,6 +1081,7 @@
         && m.takenAt.isEmpty()
         && m.everReported
         && m.unheard == 0
+        && !mute(m, now)
         && !now.isBefore(m.avoidUntil)
         && Duration.between(m.heard, now)
                 .compareTo(settings.workers().report().multipliedBy(2).plusSeconds(1))
@@ -1597,7 +1672,7 @@
       }
       BitSet done = part.job.doneOf(part.part);
       batch.done.put(part, done);
-      parts.add(new Marks.Part(part.job.spec.id(), part.part, done, hosts));
+      parts.add(new Marks.Part(part.job.spec.id(), part.part, done, hosts, part.job.claim()));
     }
     batch.marks.add(n);
     return write(marks, n, Keys.marks(n), Marks.encode(parts), changes);
@@ -1696,9 +1771,8 @@
       }
     }
     for (Job j : b.finished) {
-      letGo(j);
-      queue.remove(j);
       jobs.remove(j.spec.id());
+      over(j);
       j.durableDone.or(j.done);
       log.info(
           "event=job_done term={} job={} after_ms={}",
@@ -1842,11 +1916,11 @@
     boolean few = silence(now).few;
     Duration patience =
         serves && (m.settled || !few) ? settings.workers().lease().dividedBy(2) : silentAfter();
+    boolean mute = mute(m, now) && Duration.between(reported(m), now).compareTo(patience) > 0;
     boolean deaf =
         m.life == Life.UP
             && !m.lost
-            && m.missedProbes >= 2
-            && silence.compareTo(patience) > 0
+            && ((m.missedProbes >= 2 && silence.compareTo(patience) > 0) || mute)
             && (!m.placements.isEmpty() || !m.settled)
             && (few || (serves && silence(now).minority));
     if (!m.faulty && m.takenAt.isEmpty() && m.life == Life.UP) {
@@ -1876,10 +1950,26 @@
           m,
           neverCame
               ? "never_came"
-              : takenAway ? "taken" : faultyEmpty ? "faulty" : deaf ? "deaf" : "silent");
+              : takenAway
+                  ? "taken"
+                  : faultyEmpty ? "faulty" : mute ? "mute" : deaf ? "deaf" : "silent");
     }
   }
 
+  /**
+   * Whether a machine answers what it is asked but does not report. Only reports renew a lease, so
+   * all that runs there ends with it, however well the machine does what it is told.
+   */
+  private boolean mute(Machine m, Instant now) {
+    Duration limit = settings.workers().lease().dividedBy(2).plus(settings.workers().report());
+    return Duration.between(reported(m), now).compareTo(limit) > 0;
+  }
+
+  /** When a machine last reported; one that a new leader has not heard yet counts from its win. */
+  private Instant reported(Machine m) {
+    return m.reported.isAfter(wonAt) ? m.reported : wonAt;
+  }
+
   /** How long a machine may say nothing before it counts as silent. */
   private Duration silentAfter() {
     return settings.workers().report().multipliedBy(9).dividedBy(5);
@@ -1908,7 +1998,7 @@
         byZone.merge(m.zone, spoke(m).isBefore(limit) ? 1 : -1, Integer::sum);
         if (!m.lost) {
           up++;
-          silent += m.heard.isBefore(limit) ? 1 : 0;
+          silent += m.heard.isBefore(limit) || mute(m, now) ? 1 : 0;
         }
       }
     }
--- a/src/main/java/io/pearscale/coordination/ElectionActor.java
+++ b/src/main/java/io/pearscale/coordination/ElectionActor.java
@@ -1,6 +1,7 @@
 package io.pearscale.coordination;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.PeerMessage.LiveJobs;
 import io.pearscale.protocol.Settings;
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.ReplicaActor.Entry;
@@ -14,6 +15,7 @@
 import io.pearscale.transport.MessagePack;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -67,7 +69,8 @@
   public record PeerEnded(String peer) implements Message {}
 
   /** A peer's word, see {@link #ask}. */
-  public record Vouched(String peer, long nonce, long term, List<String> withdrawn)
+  public record Vouched(
+      String peer, long nonce, long term, List<String> cancelled, Optional<LiveJobs> live)
       implements Message {}
 
   private record FirstLook(long term, String peer, Reply reply) implements Message {}
@@ -94,8 +97,11 @@
     /** The state service has confirmed that this controller still led when it was asked. */
     void confirmed(Instant evidence);
 
-    /** All peers have confirmed the same, and named the jobs that they told as cancelled lately. */
-    void vouched(Instant evidence, Set<String> withdrawn);
+    /**
+     * All peers have confirmed the same. They named the jobs that they told as cancelled lately,
+     * and those that have started since our copy ends say which jobs were live by then.
+     */
+    void vouched(Instant evidence, Set<String> cancelled, List<LiveJobs> live);
 
     /**
      * All peers have said since the election that they know of it. Whoever says so leads in no
@@ -131,7 +137,8 @@
   private long question;
   private Instant asked = Instant.MIN;
   private final Set<String> vouchers = new HashSet<>();
-  private final Set<String> withdrawn = new HashSet<>();
+  private final Set<String> cancelled = new HashSet<>();
+  private final List<LiveJobs> live = new ArrayList<>();
 
   /** The highest term that a peer has told us of. */
   private long highestHeard;
@@ -397,15 +404,17 @@
    * as nobody else can lead. Whoever wins a newer term is one of the peers, and knows it before it
    * acts on it; so if each of them, asked now, knows no newer term, none was acted on before now.
    * The same goes for cancels: what users were told, one of the peers told them. A peer that has
-   * not read the state service since it started gives no word. Each word counts from when the
-   * question was sent, and extends a proof that still holds; one that has run out can only be
-   * renewed by the state service.
+   * not read the state service since it started gives no word, and one that has read it later than
+   * we did says what was live then, since its former life may have told cancels that nobody else
+   * knows. Each word counts from when the question was sent, and extends a proof that still holds;
+   * one that has run out can only be renewed by the state service.
    */
   private void ask(Instant sent) {
     asked = sent;
     question++;
     vouchers.clear();
-    withdrawn.clear();
+    cancelled.clear();
+    live.clear();
     listeners.forEach(l -> l.ask(question));
   }
 
@@ -418,11 +427,13 @@
       return;
     }
     vouchers.add(m.peer);
-    withdrawn.addAll(m.withdrawn);
+    cancelled.addAll(m.cancelled);
+    m.live.ifPresent(live::add);
     if (vouchers.size() > settings.peers().size() && asked.isAfter(evidence)) {
       evidence = asked;
-      Set<String> jobs = Set.copyOf(withdrawn);
-      listeners.forEach(l -> l.vouched(evidence, jobs));
+      Set<String> jobs = Set.copyOf(cancelled);
+      List<LiveJobs> lists = List.copyOf(live);
+      listeners.forEach(l -> l.vouched(evidence, jobs, lists));
       planExpiry();
     }
   }
--- a/src/main/java/io/pearscale/protocol/PeerMessage.java
+++ b/src/main/java/io/pearscale/protocol/PeerMessage.java
@@ -13,7 +13,7 @@
 /** What controllers say to each other, as {@code DataOutputStream} records. */
 public sealed interface PeerMessage {
   /** The record format; controllers of another version are not talked to. */
-  int VERSION = 2;
+  int VERSION = 3;
 
   /**
    * Sent all the time.
@@ -30,16 +30,32 @@
   /** The leader's answer to a forwarded report. */
   record ForwardedAnswer(long exchange, ReportAnswer answer) implements PeerMessage {}
 
-  /** The leader asks for a word that nothing has happened that it doesn't know. */
-  record Question(long nonce) implements PeerMessage {}
+  /**
+   * The leader asks for a word that nothing has happened that it doesn't know.
+   *
+   * @param epoch how new the leader's copy of the keys is
+   */
+  record Question(long nonce, long epoch) implements PeerMessage {}
 
   /**
    * The word of a peer, as of after the question.
    *
    * @param term the highest term that it knows
-   * @param withdrawn the jobs of which it told somebody lately that they are cancelled
+   * @param cancelled the jobs of which it told somebody lately that they are cancelled
+   * @param live what was live when it was last told, from a peer that began to know later than the
+   *     leader's copy ends: what its former life told is in this alone
    */
-  record Vouch(long nonce, long term, List<String> withdrawn) implements PeerMessage {}
+  record Vouch(long nonce, long term, List<String> cancelled, Optional<LiveJobs> live)
+      implements PeerMessage {}
+
+  /**
+   * The jobs that were not over at a revision of the state service; of those submitted by then, all
+   * others are.
+   */
+  record LiveJobs(long epoch, List<String> jobs) {}
+
+  /** Users are told, or about to be, that the job is cancelled. It is durable and stays so. */
+  record Cancelled(String job) implements PeerMessage {}
 
   /** Task counts of jobs, for display. */
   record Counts(List<JobCount> jobs) implements PeerMessage {}
@@ -83,14 +99,20 @@
       } else if (message instanceof Question m) {
         out.writeByte(5);
         out.writeLong(m.nonce);
+        out.writeLong(m.epoch);
       } else if (message instanceof Vouch m) {
         out.writeByte(6);
         out.writeLong(m.nonce);
         out.writeLong(m.term);
-        out.writeInt(m.withdrawn.size());
-        for (String id : m.withdrawn) {
-          out.writeUTF(id);
+        write(out, m.cancelled);
+        out.writeBoolean(m.live.isPresent());
+        if (m.live.isPresent()) {
+          out.writeLong(m.live.get().epoch);
+          write(out, m.live.get().jobs);
         }
+      } else if (message instanceof Cancelled m) {
+        out.writeByte(7);
+        out.writeUTF(m.job);
       }
     } catch (IOException e) {
       throw new IllegalStateException("memory does not fail", e);
@@ -127,16 +149,16 @@
               }
               yield new Counts(jobs);
             }
-            case 5 -> new Question(in.readLong());
-            case 6 -> {
-              long nonce = in.readLong();
-              long term = in.readLong();
-              List<String> withdrawn = new ArrayList<>();
-              for (int n = count(in); n > 0; n--) {
-                withdrawn.add(in.readUTF());
-              }
-              yield new Vouch(nonce, term, withdrawn);
-            }
+            case 5 -> new Question(in.readLong(), in.readLong());
+            case 6 ->
+                new Vouch(
+                    in.readLong(),
+                    in.readLong(),
+                    readTexts(in),
+                    in.readBoolean()
+                        ? Optional.of(new LiveJobs(in.readLong(), readTexts(in)))
+                        : Optional.empty());
+            case 7 -> new Cancelled(in.readUTF());
             default -> throw new Malformed("peer record of unknown kind");
           };
       if (in.read() >= 0) {
@@ -164,6 +186,21 @@
     return values[i];
   }
 
+  private static void write(DataOutputStream out, List<String> texts) throws IOException {
+    out.writeInt(texts.size());
+    for (String text : texts) {
+      out.writeUTF(text);
+    }
+  }
+
+  private static List<String> readTexts(DataInputStream in) throws IOException, Malformed {
+    List<String> texts = new ArrayList<>();
+    for (int n = count(in); n > 0; n--) {
+      texts.add(in.readUTF());
+    }
+    return texts;
+  }
+
   private static void write(DataOutputStream out, TaskId t) throws IOException {
     out.writeUTF(t.job());
     out.writeInt(t.index());
--- a/src/main/java/io/pearscale/protocol/Settings.java
+++ b/src/main/java/io/pearscale/protocol/Settings.java
@@ -25,7 +25,12 @@
   public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
     /** Whether it has any guarantee or limit, so that its use must be counted. */
     public boolean bounded() {
-      return cpus > 0 || cpusMax > 0 || gpus > 0 || gpusMax > 0;
+      return cpus > 0 || gpus > 0 || limited();
+    }
+
+    /** Whether its tasks may use only so much at any time. */
+    public boolean limited() {
+      return cpusMax > 0 || gpusMax > 0;
     }
   }
 
--- a/src/main/java/io/pearscale/storage/Marks.java
+++ b/src/main/java/io/pearscale/storage/Marks.java
@@ -8,6 +8,7 @@
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The form in which one value holds what is known of the tasks of many jobs: which are done, and
@@ -25,8 +26,24 @@
    *
    * @param done tasks that are done, numbered from the part's first
    * @param hosts for each task the machine's number in the roster plus 1, or 0
+   * @param claim what each task takes of its team's limit, if there is one: a job that is cancelled
+   *     is described nowhere else, while its tasks still count
    */
-  public record Part(String job, int part, BitSet done, int[] hosts) {}
+  public record Part(String job, int part, BitSet done, int[] hosts, Optional<Claim> claim) {}
+
+  /** What a task takes, and of which team's limit. */
+  public record Claim(String team, double cpus, double gpus, double memoryGb) {
+    private static final int NUMBER = 24;
+
+    /** How much longer a part's entry becomes by it. */
+    public int size() {
+      return team.length() + 3 * NUMBER + 4;
+    }
+
+    private String text() {
+      return "|" + cpus + "|" + gpus + "|" + memoryGb + "|" + team;
+    }
+  }
 
   private Marks() {}
 
@@ -64,7 +81,10 @@
       Base64.Encoder e = Base64.getEncoder().withoutPadding();
       value.put(
           p.job + "/" + p.part,
-          e.encodeToString(p.done.toByteArray()) + "|" + e.encodeToString(hosts));
+          e.encodeToString(p.done.toByteArray())
+              + "|"
+              + e.encodeToString(hosts)
+              + p.claim.map(Claim::text).orElse(""));
     }
     return value;
   }
@@ -78,7 +98,7 @@
             f -> {
               try {
                 int slash = f.getKey().lastIndexOf('/');
-                String[] text = f.getValue().asText().split("\\|", -1);
+                String[] text = f.getValue().asText().split("\\|", 6);
                 byte[] bytes = Base64.getDecoder().decode(text[1]);
                 int[] hosts = new int[bytes.length / 2];
                 for (int i = 0; i < hosts.length; i++) {
@@ -89,7 +109,15 @@
                         f.getKey().substring(0, slash),
                         Integer.parseInt(f.getKey().substring(slash + 1)),
                         BitSet.valueOf(Base64.getDecoder().decode(text[0])),
-                        hosts));
+                        hosts,
+                        text.length < 6
+                            ? Optional.empty()
+                            : Optional.of(
+                                new Claim(
+                                    text[5],
+                                    Double.parseDouble(text[2]),
+                                    Double.parseDouble(text[3]),
+                                    Double.parseDouble(text[4])))));
               } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
                 org.slf4j.LoggerFactory.getLogger(Marks.class)
                     .error("event=stored_marks_unreadable entry={}", f.getKey());
--- a/src/test/java/io/pearscale/protocol/PeerMessageTest.java
+++ b/src/test/java/io/pearscale/protocol/PeerMessageTest.java
@@ -3,11 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.pearscale.protocol.PeerMessage.Cancelled;
 import io.pearscale.protocol.PeerMessage.Counts;
 import io.pearscale.protocol.PeerMessage.ForwardedAnswer;
 import io.pearscale.protocol.PeerMessage.ForwardedReport;
 import io.pearscale.protocol.PeerMessage.Heartbeat;
 import io.pearscale.protocol.PeerMessage.JobCount;
+import io.pearscale.protocol.PeerMessage.LiveJobs;
+import io.pearscale.protocol.PeerMessage.Question;
+import io.pearscale.protocol.PeerMessage.Vouch;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
@@ -45,7 +49,11 @@
                       Order.run(TASK, 8),
                       Order.kill(TASK, 7, Duration.ofSeconds(4)),
                       Order.clear(TASK, 6)))),
-          new Counts(List.of(new JobCount("wk-7", 1, 2))));
+          new Counts(List.of(new JobCount("wk-7", 1, 2))),
+          new Question(12, 431),
+          new Vouch(12, 9, List.of("wk-3", "wk-5"), Optional.empty()),
+          new Vouch(12, 9, List.of(), Optional.of(new LiveJobs(430, List.of("wk-8")))),
+          new Cancelled("wk-3"));
 
   @Test
   void recordsComeOutAsTheyWentIn() throws Malformed {
--- a/src/test/java/io/pearscale/sim/ElectionTest.java
+++ b/src/test/java/io/pearscale/sim/ElectionTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pearscale.coordination.ElectionActor;
+import io.pearscale.protocol.PeerMessage.LiveJobs;
 import io.pearscale.protocol.Settings;
 import io.pearscale.storage.StateClient;
 import io.pearscale.transport.Calls;
@@ -94,7 +95,7 @@
   public void confirmed(Instant evidence) {}
 
   @Override
-  public void vouched(Instant evidence, Set<String> withdrawn) {}
+  public void vouched(Instant evidence, Set<String> cancelled, List<LiveJobs> live) {}
 
   @Override
   public void acknowledged() {
--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -6,6 +6,7 @@
 import io.pearscale.bookkeeping.Tuning;
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.Malformed;
+import io.pearscale.protocol.PeerMessage.LiveJobs;
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.ReportAnswer;
 import io.pearscale.protocol.Settings;
@@ -25,6 +26,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -115,6 +117,8 @@
         core.tell(new SchedulerActor.Changed(List.of(), stamp));
         settle(Duration.ofMillis(100));
       }
+      case "vouch" -> vouch(List.of(), w.subList(1, w.size()));
+      case "vouch-live" -> vouch(List.of(new LiveJobs(stamp, w.subList(1, w.size()))), List.of());
       case "acknowledged" -> core.tell(new SchedulerActor.Acknowledged(term));
       case "confirm" -> confirm();
       case "wait" -> {
@@ -200,7 +204,26 @@
     }
     changed(
         "c/marks/" + marked++,
-        Optional.of(Marks.encode(List.of(new Marks.Part(job, 0, done, on)))));
+        Optional.of(Marks.encode(List.of(new Marks.Part(job, 0, done, on, claim(job))))));
+  }
+
+  /** As a leader writes it: what the tasks of a job take of their team's limit. */
+  private Optional<Marks.Claim> claim(String job) {
+    JsonNode spec = keys.get("c/live/" + job).value().path("spec");
+    String team = spec.path("crew").asText();
+    return world.teams.stream().anyMatch(t -> t.name().equals(team) && t.limited())
+        ? Optional.of(
+            new Marks.Claim(
+                team,
+                spec.path("vcpus").asDouble(),
+                spec.path("accelerators").asDouble(),
+                spec.path("memoryGb").asDouble()))
+        : Optional.empty();
+  }
+
+  private void vouch(List<LiveJobs> live, List<String> cancelled) {
+    core.tell(new SchedulerActor.Vouched(world.now, Set.copyOf(cancelled), live));
+    settle(Duration.ofMillis(10));
   }
 
   /** What the state service holds of a task: done, the name of a machine, or none. */
@@ -368,6 +391,13 @@
         TreeSet<String> want = new TreeSet<>(w.subList(2, w.size()));
         return got.equals(want) ? Optional.empty() : Optional.of("sent " + got);
       }
+      case "leeway" -> {
+        JsonNode orders = direct.get(w.get(1)).body.path("orders");
+        double got = orders.path(0).path("leewayS").asDouble(-1);
+        return got == Double.parseDouble(w.get(2))
+            ? Optional.empty()
+            : Optional.of("leeway " + got);
+      }
       case "token" -> {
         long got = answer.map(ReportAnswer::token).orElse(-1L) - (term << 24) - 1;
         return got == Long.parseLong(w.get(1)) ? Optional.empty() : Optional.of("token +" + got);
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -241,6 +241,8 @@
           worker.reboot();
         }
       }
+      case "mute" -> world.mute.add(name(w.get(1)));
+      case "unmute" -> world.mute.remove(name(w.get(1)));
       case "deafen" -> world.deaf.add(name(w.get(1)));
       case "undeafen" -> world.deaf.remove(name(w.get(1)));
       case "copies" -> {
--- a/src/test/java/io/pearscale/sim/SimState.java
+++ b/src/test/java/io/pearscale/sim/SimState.java
@@ -21,7 +21,7 @@
 
   private record Changed(String key, JsonNode value, long stamp) {}
 
-  private record Watch(String prefix, long since, Consumer<Reply> answer) {}
+  private record Watch(String from, String prefix, long since, Consumer<Reply> answer) {}
 
   private final World world;
   private final TreeMap<String, Pair> pairs = new TreeMap<>();
@@ -211,7 +211,7 @@
 
   private void watch(String from, String path, Consumer<Reply> answer) {
     Map<String, String> q = query(path);
-    Watch w = new Watch(q.get("prefix"), Long.parseLong(q.get("since")), answer);
+    Watch w = new Watch(from, q.get("prefix"), Long.parseLong(q.get("since")), answer);
     long block = Long.parseLong(q.get("blockMs"));
     if (down || refuses.contains(from)) {
       answer.accept(new Reply(503, World.map()));
@@ -225,7 +225,7 @@
     world.after(
         Duration.ofMillis(block),
         () -> {
-          if (!down && watches.remove(w)) {
+          if (!down && !refuses.contains(from) && watches.remove(w)) {
             tell(w);
           }
         });
@@ -253,7 +253,8 @@
       return;
     }
     for (Watch w : List.copyOf(watches)) {
-      if (!events(w).isEmpty()) {
+      // Whoever is refused alone has its open watches wait as during an outage.
+      if (!refuses.contains(w.from) && !events(w).isEmpty()) {
         watches.remove(w);
         tell(w);
       }
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -76,6 +76,9 @@
   /** Machines whose messages arrive, while nothing reaches them. */
   final Set<String> deaf = new HashSet<>();
 
+  /** Machines that reach no controller by themselves, while they answer what they are asked. */
+  final Set<String> mute = new HashSet<>();
+
   /** How many of a machine's next reports are delivered once more, and how much later. */
   final Map<String, Integer> copies = new HashMap<>();
 
@@ -198,6 +201,9 @@
           }
         };
     after(timeout, () -> once.accept(Reply.NONE));
+    if (mute.contains(from)) {
+      return;
+    }
     JsonNode copy = body.deepCopy();
     commands += path.equals("/do") ? 1 : 0;
     if (copies.getOrDefault(from, 0) > 0) {
