Bring about the other meetings of troubles in tests, and draw them at random

The stand-ins learn a slow state service, slow links, tasks of one job that run differently long, and count starts of what was done.

--- a/src/test/java/io/pearscale/sim/RandomRunsTest.java
+++ b/src/test/java/io/pearscale/sim/RandomRunsTest.java
@@ -47,6 +47,7 @@
         .append("team u\n")
         .append("class web wait 1\n");
     StringBuilder expect = new StringBuilder();
+    boolean refused = r.nextInt(3) == 0;
     int jobs = 6 + r.nextInt(8);
     for (int i = 0; i < jobs; i++) {
       String id = "wk-" + i;
@@ -68,7 +69,8 @@
           .append(" image=i" + r.nextInt(3))
           .append(" run=" + (2 + r.nextInt(14)) + "\n");
       if (r.nextInt(4) == 0) {
-        s.append("at %.2f cancel %s\n".formatted(72 + r.nextDouble() * 20, id));
+        double spell = refused ? 2 : 20;
+        s.append("at %.2f cancel %s\n".formatted(72 + r.nextDouble() * spell, id));
         expect.append("expect " + id + " present 0\n");
       } else if (service) {
         expect.append("expect " + id + " present " + tasks + "\n");
@@ -80,16 +82,38 @@
     for (int i = 0; i < troubles; i++) {
       trouble(r, s, i);
     }
+    if (refused) {
+      refusedThenOut(r, s);
+    }
     return s.append("until 330\n").append(expect).toString();
   }
 
+  /**
+   * The leader is refused at about the time at which users cancel, a controller may end and be
+   * back, and then the state service is out for all for longer than a cancel may take.
+   */
+  private static void refusedThenOut(RandomGenerator r, StringBuilder s) {
+    double at = 72 + r.nextDouble();
+    s.append("at %.2f call leader-if-any refused\nat %.2f refuse refused\n".formatted(at, at));
+    if (r.nextBoolean()) {
+      String node = "hive-" + r.nextInt(3);
+      double ends = at + r.nextDouble() * 2;
+      s.append("at %.2f crash %s\n".formatted(ends, node))
+          .append("at %.2f start %s\n".formatted(ends + 0.1 + r.nextDouble(), node));
+    }
+    double out = at + 0.5 + r.nextDouble() * 3;
+    s.append(
+            "at %.2f down state\nat %.2f up state\n".formatted(out, out + 30 + r.nextDouble() * 25))
+        .append("at %.2f serve refused\n".formatted(at + 5 + r.nextDouble() * 60));
+  }
+
   private static void trouble(RandomGenerator r, StringBuilder s, int i) {
     double at = 6 + r.nextDouble() * 70;
     double end = at + 1 + r.nextDouble() * 40;
     String node = "hive-" + r.nextInt(3);
     String machine = "m-00000" + r.nextInt(6);
     String hold = r.nextBoolean() ? " hold" : "";
-    switch (r.nextInt(19)) {
+    switch (r.nextInt(24)) {
       case 0 -> s.append("at %.2f crash %s\nat %.2f start %s\n".formatted(at, node, end, node));
       case 1 -> s.append("at %.2f crash all\nat %.2f start all\n".formatted(at, at + 3));
       case 2 ->
@@ -140,6 +164,25 @@
           s.append(
               "at %.2f freeze %s %.2f%s\n"
                   .formatted(at, node, 1 + r.nextDouble() * 35, r.nextBoolean() ? " midway" : ""));
+      case 18, 19 ->
+          s.append("at %.2f mute %s\nat %.2f unmute %s\n".formatted(at, machine, end, machine));
+      case 20 ->
+          s.append(
+              "at %.2f slow-state %.2f\nat %.2f slow-state 0\n".formatted(at, r.nextDouble(), end));
+      case 21 ->
+          s.append(
+              "at %.2f slow-links %.2f\nat %.2f slow-links 0\n"
+                  .formatted(at, r.nextDouble() * 0.4, end));
+      case 22 -> {
+        // Two controllers are gone, the third has lost the state service.
+        s.append("at %.2f refuse %s\n".formatted(at, node));
+        for (int k = 0; k < 3; k++) {
+          if (!node.equals("hive-" + k)) {
+            s.append("at %.2f crash hive-%d\nat %.2f start hive-%d\n".formatted(at, k, end, k));
+          }
+        }
+        s.append("at %.2f serve %s\n".formatted(end, node));
+      }
       case 8 -> s.append("at %.2f refuse %s\nat %.2f serve %s\n".formatted(at, node, end, node));
       default ->
           s.append(
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -168,6 +168,9 @@
 
   /** The current leader, as the state service has it. */
   private String name(String word) {
+    if (word.equals("leader-if-any")) {
+      return world.state.leader().orElse("hive-0");
+    }
     if (word.equals("leader") || word.startsWith("follower")) {
       String leader =
           world
@@ -202,7 +205,8 @@
       case "submit" -> {
         Map<String, String> o = options(w.subList(3, w.size()));
         JobSpec spec = job(w.get(1), w.get(2).equals("service"), o);
-        SimUser u = new SimUser(world, spec, spec.estimate());
+        SimUser u =
+            new SimUser(world, spec, spec.estimate(), seconds(o.getOrDefault("apart", "0")));
         world.submitted.put(spec.id(), spec);
         world.users.put(spec.id(), u);
         u.submit();
@@ -251,6 +255,8 @@
       }
       case "refuse" -> world.state.refuses.add(name(w.get(1)));
       case "serve" -> world.state.refuses.remove(name(w.get(1)));
+      case "slow-state" -> world.state.slowBy = seconds(w.get(1));
+      case "slow-links" -> world.slowBy = seconds(w.get(1));
       case "late-commits" -> {
         world.state.lateCommits = Integer.parseInt(w.get(1));
         world.state.lateBy = seconds(w.get(2));
@@ -295,6 +301,8 @@
     boolean good;
     if (w.get(0).equals("rentals")) {
       good = world.cloud.rentals <= Integer.parseInt(w.get(2));
+    } else if (w.get(0).equals("repeats")) {
+      good = world.repeats <= Integer.parseInt(w.get(2));
     } else if (w.get(0).equals("leader")) {
       good = world.state.leader().isPresent();
     } else if (w.get(0).equals("terms")) {
--- a/src/test/java/io/pearscale/sim/SimState.java
+++ b/src/test/java/io/pearscale/sim/SimState.java
@@ -37,6 +37,10 @@
 
   long requests;
   boolean down;
+
+  /** How much longer each answer takes than by itself; a watch that waits is told as late. */
+  Duration slowBy = Duration.ZERO;
+
   final Set<String> refuses = new HashSet<>();
 
   /** The next so many commits of anybody are applied late, and their answers are lost. */
@@ -58,8 +62,10 @@
     return new Reply(200, body);
   }
 
-  void serve(String from, String method, String path, JsonNode body, Consumer<Reply> answer) {
+  void serve(String from, String method, String path, JsonNode body, Consumer<Reply> to) {
     requests++;
+    Duration slow = slowBy;
+    Consumer<Reply> answer = slow.isZero() ? to : r -> world.after(slow, () -> to.accept(r));
     if (path.startsWith("/watch")) {
       watch(from, path, answer);
       return;
--- a/src/test/java/io/pearscale/sim/SimUser.java
+++ b/src/test/java/io/pearscale/sim/SimUser.java
@@ -16,7 +16,11 @@
 
   private final World world;
   final JobSpec spec;
-  final Duration run;
+  private final Duration run;
+
+  /** How much longer each task runs than the one before. */
+  private final Duration apart;
+
   boolean accepted;
   Instant acceptedAt;
   private Instant answered;
@@ -27,12 +31,18 @@
   Instant doneAt;
   private boolean polling;
 
-  SimUser(World world, JobSpec spec, Duration run) {
+  SimUser(World world, JobSpec spec, Duration run, Duration apart) {
+    this.apart = apart;
     this.world = world;
     this.spec = spec;
     this.run = run;
   }
 
+  /** How long a task of the job runs. */
+  Duration run(TaskId task) {
+    return run.plus(apart.multipliedBy(task.index()));
+  }
+
   static TaskId task(String text) {
     try {
       return TaskId.parse(text);
--- a/src/test/java/io/pearscale/sim/SimWorker.java
+++ b/src/test/java/io/pearscale/sim/SimWorker.java
@@ -327,6 +327,7 @@
                   }
                   images.add(spec.image());
                   if (completed(world).contains(key.task)) {
+                    world.repeats++;
                     end(key, t, "done");
                     return;
                   }
@@ -338,7 +339,7 @@
                     world.after(
                         Duration.ofMillis(300), () -> alive(() -> endIfRunning(key, t, "error")));
                   } else if (!spec.service()) {
-                    Duration run = world.users.get(spec.id()).run;
+                    Duration run = world.users.get(spec.id()).run(key.task);
                     world.after(run, () -> alive(() -> endIfRunning(key, t, "done")));
                   }
                 }));
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -47,6 +47,9 @@
 
   long commands;
 
+  /** Starts of tasks that were done before. */
+  int repeats;
+
   /** From then on users expect answers, and jobs to begin. */
   Instant troublesOver = START;
 
@@ -73,6 +76,9 @@
   // Faults of the network.
   boolean linksRefused;
 
+  /** How much longer every message takes than by itself. */
+  Duration slowBy = Duration.ZERO;
+
   /** Machines whose messages arrive, while nothing reaches them. */
   final Set<String> deaf = new HashSet<>();
 
@@ -166,7 +172,7 @@
   }
 
   private Duration latency() {
-    return Duration.ofMillis(1 + random.nextInt(4));
+    return Duration.ofMillis(1 + random.nextInt(4)).plus(slowBy);
   }
 
   /** Carries a message; it may be lost or held when there is a cut. */
