Start nothing on knowledge older than 3 s, and give no machine back that hung

Cause: a leader that stood still, or is refused by the state service, sent starts that were marked before on knowledge of up to a hold, though users had been told of a cancel meanwhile. Leases need not be as strict: running work would go in every short outage.

A machine counts as mute from its first answer since its last report.

--- a/src/main/java/io/pearscale/bookkeeping/ApiActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/ApiActor.java
@@ -255,6 +255,9 @@
         || (t.gpusMax() > 0 && n * s.gpus() > t.gpusMax() + 1e-6)) {
       return refuse("beyond the team's limit");
     }
+    if (s.spread() && s.tasks() > 1 && (s.oneZone() || s.zone().isPresent())) {
+      return refuse("tasks must spread over zones and stay in one");
+    }
     if (types.stream().anyMatch(s::allowsSomewhere)) {
       return Optional.empty();
     }
--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -73,8 +73,8 @@
   boolean deleteSent;
   Instant heard = Instant.MIN;
 
-  /** When its last report came, which renews its lease; answers to commands don't. */
-  Instant reported = Instant.MIN;
+  /** When it first answered a command since its last report; only reports renew its lease. */
+  Optional<Instant> answersSince = Optional.empty();
 
   /** The lease ends at the latest when this, plus a lease, has passed. */
   Instant renewed;
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -83,6 +83,10 @@
   private static final Duration REPEAT = Duration.ofSeconds(2);
   private static final Duration DIRECT_PAUSE = Duration.ofSeconds(3);
   private static final int LEASES_OF_A_CUT = 10;
+
+  /** A watch that comes back without news was sent 2 s before; what is older is not known. */
+  private static final Duration START_KNOWLEDGE = Duration.ofSeconds(3);
+
   private static final int MOST_CANCELLED = 20_000;
   private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(6);
 
@@ -676,7 +680,7 @@
       return ReportAnswer.UNAVAILABLE;
     }
     absorb(m, r, hears(m, r, via));
-    m.reported = now();
+    m.answersSince = Optional.empty();
     m.renewed = now();
     m.via = via;
     List<Order> orders = m.settled && r.token() <= m.token ? orders(m, true) : List.of();
@@ -1320,7 +1324,7 @@
       if (room == null) {
         room = m.physicalRoom();
       }
-      if (!room.fits(p.job) || !leads()) {
+      if (!room.fits(p.job) || !mayStart()) {
         continue;
       }
       room.take(p.job);
@@ -1344,6 +1348,15 @@
         && now.isBefore(fresh.plus(settings.hold()));
   }
 
+  /**
+   * Whether starts may be sent. From when a user is told that a job is cancelled none of its tasks
+   * may begin, so a start needs later knowledge than a lease: whoever stood still, or is refused by
+   * the state service, looks again first.
+   */
+  private boolean mayStart() {
+    return leads() && now().isBefore(fresh.plus(START_KNOWLEDGE));
+  }
+
   /** All that the worker has to be told now. */
   private List<Order> orders(Machine m, boolean inAnswer) {
     Instant now = now();
@@ -1361,7 +1374,7 @@
           p.killSent = now;
           p.kills++;
         }
-      } else if (inAnswer && p.stage == Stage.SENT && !p.confirmed && !m.calling) {
+      } else if (inAnswer && p.stage == Stage.SENT && !p.confirmed && !m.calling && mayStart()) {
         // The direct command seems lost. The same attempt can't run twice, whatever comes late.
         p.token = m.token;
         p.session = m.session;
@@ -1488,6 +1501,7 @@
         boolean wasSettled = m.settled;
         if (r.newerThan(m.session, m.sequence)) {
           absorb(m, r, true);
+          m.answersSince = m.answersSince.or(() -> Optional.of(now()));
         }
         if (!wasSettled && !m.settled && d.reply.status() == 409) {
           probe(m);
@@ -1916,7 +1930,7 @@
     boolean few = silence(now).few;
     Duration patience =
         serves && (m.settled || !few) ? settings.workers().lease().dividedBy(2) : silentAfter();
-    boolean mute = mute(m, now) && Duration.between(reported(m), now).compareTo(patience) > 0;
+    boolean mute = mute(m, now);
     boolean deaf =
         m.life == Life.UP
             && !m.lost
@@ -1958,16 +1972,12 @@
 
   /**
    * Whether a machine answers what it is asked but does not report. Only reports renew a lease, so
-   * all that runs there ends with it, however well the machine does what it is told.
+   * all that runs there ends with it, however well the machine does what it is told. One that hung
+   * may answer first and report a moment later: it counts from its first answer.
    */
   private boolean mute(Machine m, Instant now) {
-    Duration limit = settings.workers().lease().dividedBy(2).plus(settings.workers().report());
-    return Duration.between(reported(m), now).compareTo(limit) > 0;
-  }
-
-  /** When a machine last reported; one that a new leader has not heard yet counts from its win. */
-  private Instant reported(Machine m) {
-    return m.reported.isAfter(wonAt) ? m.reported : wonAt;
+    Duration limit = settings.workers().lease().dividedBy(2);
+    return m.answersSince.map(t -> now.isAfter(t.plus(limit))).orElse(false);
   }
 
   /** How long a machine may say nothing before it counts as silent. */
--- a/src/test/java/io/pearscale/cli/LoopbackTest.java
+++ b/src/test/java/io/pearscale/cli/LoopbackTest.java
@@ -20,6 +20,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Iterator;
+import java.util.List;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -91,6 +93,14 @@
     ObjectNode missing = job();
     missing.remove("guessS");
     assertEquals(400, submit(missing));
+    ObjectNode whole = job();
+    for (Iterator<String> it = job().fieldNames(); it.hasNext(); ) {
+      String field = it.next();
+      boolean optional = List.of("breeds", "yard", "dueS").contains(field);
+      ObjectNode without = whole.deepCopy();
+      without.remove(field);
+      assertEquals(optional ? 503 : 400, submit(without), field);
+    }
   }
 
   @Test
