--- a/src/test/java/io/pearscale/sim/SimWorker.java
+++ b/src/test/java/io/pearscale/sim/SimWorker.java
@@ -75,6 +75,31 @@
     return COMPLETED.computeIfAbsent(world, w -> new HashSet<>());
   }
 
+  /** Whether all tasks of a job have completed, told or not. */
+  static boolean allDone(World world, JobSpec spec) {
+    Set<TaskId> done = completed(world);
+    for (int i = 0; i < spec.tasks(); i++) {
+      if (!done.contains(new TaskId(spec.id(), i))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Whether a task of the job could run here now. */
+  boolean couldRun(JobSpec spec) {
+    double used = 0;
+    for (World.Presence p : world.present) {
+      used += p.worker() == this ? world.submitted.get(p.task().job()).cpus() : 0;
+    }
+    return !dead
+        && !hung
+        && !faulty
+        && noticeEnd == null
+        && spec.allows(type, zone, spot)
+        && used + spec.cpus() <= type.cpus() + 1e-6;
+  }
+
   /** Power off. */
   void die() {
     dead = true;
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -37,6 +37,7 @@
       new PriorityQueue<>(
           (a, b) -> a.at.equals(b.at) ? Long.compare(a.order, b.order) : a.at.compareTo(b.at));
   private long order;
+  private static final Duration WAIT = Duration.ofSeconds(90);
   static final Instant START = Instant.EPOCH.plusSeconds(1000);
   Instant now = START;
   final RandomGenerator random;
@@ -365,8 +366,49 @@
         });
   }
 
+  /** Jobs that wait although there is room for them, and since when. */
+  private final Map<SimUser, Instant> neglected = new HashMap<>();
+
+  /**
+   * Once the troubles are over no job may wait for long while a machine that fits has room and its
+   * team is under its limit.
+   */
+  private void checkWaiting() {
+    for (SimUser u : users.values()) {
+      boolean waits =
+          u.accepted
+              && !u.over()
+              && u.cancelledAt == null
+              && !u.mistake()
+              && now.isAfter(troublesOver)
+              && present.stream().noneMatch(p -> p.task.job().equals(u.spec.id()))
+              && !SimWorker.allDone(this, u.spec)
+              && underLimit(u.spec)
+              && workers.values().stream().anyMatch(w -> w.couldRun(u.spec));
+      if (!waits) {
+        neglected.remove(u);
+      } else if (now.isAfter(neglected.computeIfAbsent(u, k -> now).plus(WAIT))) {
+        breaks("left_waiting", u.spec.id());
+        neglected.remove(u);
+      }
+    }
+  }
+
+  private boolean underLimit(JobSpec spec) {
+    double used = spec.cpus();
+    for (Presence p : present) {
+      JobSpec other = submitted.get(p.task.job());
+      used += other.team().equals(spec.team()) ? other.cpus() : 0;
+    }
+    double use = used;
+    return teams.stream()
+        .noneMatch(
+            t -> t.name().equals(spec.team()) && t.cpusMax() > 0 && use > t.cpusMax() + 1e-6);
+  }
+
   /** Called every second. */
   void audit() {
+    checkWaiting();
     for (Presence p : present) {
       SimUser u = users.get(p.task.job());
       if (u != null && u.cancelledAt != null && now.isAfter(u.cancelledAt.plus(cancel))) {
