Give no mute machine back while anything may run there; bound starts by half of the hold

At 261 s a leader was elected while the old one stood still; 66 machines had not got a report through 11 s later, though they answered, and were given back with what they ran, well within their leases.

The bound is half of the hold now.

--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -84,9 +84,6 @@
   private static final Duration DIRECT_PAUSE = Duration.ofSeconds(3);
   private static final int LEASES_OF_A_CUT = 10;
 
-  /** A watch that comes back without news was sent 2 s before; what is older is not known. */
-  private static final Duration START_KNOWLEDGE = Duration.ofSeconds(3);
-
   private static final int MOST_CANCELLED = 20_000;
   private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(6);
 
@@ -1371,10 +1368,11 @@
   /**
    * Whether starts may be sent. From when a user is told that a job is cancelled none of its tasks
    * may begin, so a start needs later knowledge than a lease: whoever stood still, or is refused by
-   * the state service, looks again first.
+   * the state service, looks again first. Half of the hold leaves time to a leader that has just
+   * taken over and hears everything late.
    */
   private boolean mayStart() {
-    return leads() && now().isBefore(fresh.plus(START_KNOWLEDGE));
+    return leads() && now().isBefore(fresh.plus(settings.hold().dividedBy(2)));
   }
 
   /** All that the worker has to be told now. */
@@ -1950,11 +1948,11 @@
     boolean few = silence(now).few;
     Duration patience =
         serves && (m.settled || !few) ? settings.workers().lease().dividedBy(2) : silentAfter();
-    boolean mute = mute(m, now);
     boolean deaf =
         m.life == Life.UP
             && !m.lost
-            && ((m.missedProbes >= 2 && silence.compareTo(patience) > 0) || mute)
+            && m.missedProbes >= 2
+            && silence.compareTo(patience) > 0
             && (!m.placements.isEmpty() || !m.settled)
             && (few || (serves && silence(now).minority));
     if (!m.faulty && m.takenAt.isEmpty() && m.life == Life.UP) {
@@ -1979,21 +1977,24 @@
             && now.isAfter(m.takenAt.get().plusSeconds(2))
             && now.isAfter(m.heard.plusSeconds(3));
     boolean faultyEmpty = m.faulty && m.life == Life.UP && m.placements.isEmpty();
-    if (neverCame || silentLong || takenAway || faultyEmpty || deaf) {
+    boolean mute = mute(m, now) && m.life == Life.UP && m.placements.isEmpty() && few;
+    if (neverCame || silentLong || takenAway || faultyEmpty || deaf || mute) {
       retire(
           m,
           neverCame
               ? "never_came"
               : takenAway
                   ? "taken"
-                  : faultyEmpty ? "faulty" : mute ? "mute" : deaf ? "deaf" : "silent");
+                  : faultyEmpty ? "faulty" : deaf ? "deaf" : mute ? "mute" : "silent");
     }
   }
 
   /**
    * Whether a machine answers what it is asked but does not report. Only reports renew a lease, so
    * all that runs there ends with it, however well the machine does what it is told. One that hung
-   * may answer first and report a moment later: it counts from its first answer.
+   * may answer first and report a moment later: it counts from its first answer. It is not given
+   * back while anything may run there: after a takeover, with a controller that stands still, a
+   * report may find nobody for as long, and comes in time.
    */
   private boolean mute(Machine m, Instant now) {
     Duration limit = settings.workers().lease().dividedBy(2);
@@ -2028,7 +2029,7 @@
         byZone.merge(m.zone, spoke(m).isBefore(limit) ? 1 : -1, Integer::sum);
         if (!m.lost) {
           up++;
-          silent += m.heard.isBefore(limit) || mute(m, now) ? 1 : 0;
+          silent += m.heard.isBefore(limit) ? 1 : 0;
         }
       }
     }
