--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -84,6 +84,9 @@
   private static final Duration DIRECT_PAUSE = Duration.ofSeconds(3);
   private static final int LEASES_OF_A_CUT = 10;
 
+  /** A watch that comes back without news was sent 2 s before: a shorter hold asks for no less. */
+  private static final Duration WATCH_AGE = Duration.ofSeconds(3);
+
   private static final int MOST_CANCELLED = 20_000;
   private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(6);
 
@@ -1372,7 +1375,12 @@
    * taken over and hears everything late.
    */
   private boolean mayStart() {
-    return leads() && now().isBefore(fresh.plus(settings.hold().dividedBy(2)));
+    return leads() && now().isBefore(fresh.plus(startKnowledge()));
+  }
+
+  private Duration startKnowledge() {
+    Duration half = settings.hold().dividedBy(2);
+    return half.compareTo(WATCH_AGE) > 0 ? half : WATCH_AGE;
   }
 
   /** All that the worker has to be told now. */
