--- a/src/main/java/io/pearscale/bookkeeping/Job.java
+++ b/src/main/java/io/pearscale/bookkeeping/Job.java
@@ -20,6 +20,9 @@
   /** What is stopped sooner is no start in its user's eyes. */
   static final Duration A_START = Duration.ofSeconds(30);
 
+  /** On so many machines a job must fail before it is thought to be its own fault. */
+  private static final int TRIES = 3;
+
   final JobSpec spec;
   final long stamp;
   final Instant submitted;
@@ -41,6 +44,10 @@
   private final Map<String, Integer> byZone = new HashMap<>();
   final Set<String> failedOn = new HashSet<>();
   Instant notBefore = Instant.MIN;
+
+  /** How often it was put off since it seems to be mistaken. */
+  int retries;
+
   boolean succeeded;
 
   /** Whether any of its tasks ran for long enough to count as a start. */
@@ -49,6 +56,16 @@
   /** Whether the last pass found no place for one of its tasks. */
   boolean noRoom;
 
+  /** Whether it is known that its tasks can run: one was done, or a replica ran for a while. */
+  boolean works() {
+    return succeeded || (spec.service() && begun);
+  }
+
+  /** Whether it seems to have been submitted with a mistake: it failed wherever it was tried. */
+  boolean mistaken() {
+    return !works() && failedOn.size() >= TRIES;
+  }
+
   Job(JobSpec spec, long stamp, Instant submitted, boolean limited) {
     this.limited = limited;
     this.spec = spec;
--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -6,11 +6,9 @@
 import io.pearscale.protocol.TaskId;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /** A machine, as the leader sees it. */
 final class Machine {
@@ -24,6 +22,8 @@
   /** An attempt that ended, until the worker has forgotten it. */
   record Ended(TaskId task, long attempt) {}
 
+  private static final int MANY_MISTAKEN = 5;
+
   final String name;
   final String zone;
   final boolean spot;
@@ -88,8 +88,10 @@
   Instant directAfter = Instant.MIN;
   Optional<Instant> takenAt = Optional.empty();
   boolean faulty;
-  int errors;
-  final Set<String> errorJobs = new HashSet<>();
+
+  /** Jobs whose tasks failed here since one last was done here, and how often. */
+  private final Map<Job, Integer> failures = new HashMap<>();
+
   Instant avoidUntil = Instant.MIN;
 
   /** Since when the machine can be spared; far in the future when it can't. */
@@ -120,6 +122,39 @@
     this.address = "";
   }
 
+  /** A task failed here. */
+  void noteFailure(Job job) {
+    failures.merge(job, 1, Integer::sum);
+  }
+
+  /** A task was done here: what failed before did not fail for the machine. */
+  void noteSuccess() {
+    failures.clear();
+  }
+
+  /** How often tasks failed here that did not fail for their own job. */
+  int strikes() {
+    int n = 0;
+    for (Map.Entry<Job, Integer> e : failures.entrySet()) {
+      n += e.getKey().mistaken() ? 0 : e.getValue();
+    }
+    return n;
+  }
+
+  /**
+   * Whether what failed here points at the machine: twice a job that runs elsewhere, or two jobs of
+   * which it is not known that they fail everywhere. Of those that do, it takes many at once.
+   */
+  boolean failsWhatItStarts() {
+    int good = 0;
+    int jobs = 0;
+    for (Map.Entry<Job, Integer> e : failures.entrySet()) {
+      good += e.getKey().works() ? e.getValue() : 0;
+      jobs += e.getKey().mistaken() ? 0 : 1;
+    }
+    return good >= 2 || jobs >= 2 || failures.size() >= MANY_MISTAKEN;
+  }
+
   void noteImage(String image, double gb) {
     images.put(image, gb);
     double sum = 0;
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -884,9 +884,15 @@
     }
     switch (t.cause()) {
       case "done" -> {
-        job.succeeded = true;
-        m.errors = 0;
-        m.errorJobs.clear();
+        if (!job.succeeded) {
+          // Where it failed before, the machine was at fault.
+          job.succeeded = true;
+          job.notBefore = Instant.MIN;
+          for (String name : job.failedOn) {
+            Optional.ofNullable(machines.get(name)).ifPresent(this::judge);
+          }
+        }
+        m.noteSuccess();
         if (!job.spec.service() && !job.done.get(t.task().index())) {
           Placement other = job.placed.get(t.task().index());
           if (other != null) {
@@ -932,21 +938,34 @@
 
   /**
    * Errors of several jobs on one machine point at the machine; errors of one job on several
-   * machines point at the job. Both are counted, and until it is clear both are given a rest.
+   * machines point at the job. Both are counted, and until it is clear both are given a rest. A job
+   * that was submitted with a mistake fails on healthy machines: once it is known, they are not
+   * blamed for it, while the job is tried ever more rarely.
    */
   private void failed(Machine m, Job job) {
     Instant now = now();
-    m.errors++;
-    m.errorJobs.add(job.spec.id());
     job.failedOn.add(m.name);
-    m.avoidUntil = now.plusSeconds(Math.min(60, 5L << Math.min(4, m.errors)));
-    boolean jobsFault = !job.succeeded && job.failedOn.size() >= 3 && m.errorJobs.size() < 2;
-    if (jobsFault) {
-      job.notBefore = now.plusSeconds(Math.min(60, 1L << Math.min(6, job.failedOn.size())));
-      m.avoidUntil = Instant.MIN;
-    } else if (!m.faulty && (m.errorJobs.size() >= 2 || m.errors >= 3)) {
+    m.noteFailure(job);
+    if (job.mistaken()) {
+      if (!now.isBefore(job.notBefore)) {
+        job.notBefore = now.plusSeconds(Math.min(60, 4L << Math.min(4, job.retries++)));
+      }
+      for (String name : job.failedOn) {
+        Machine other = machines.get(name);
+        if (other != null && other.strikes() == 0) {
+          other.avoidUntil = Instant.MIN;
+        }
+      }
+    } else {
+      m.avoidUntil = now.plusSeconds(Math.min(60, 5L << Math.min(4, m.strikes())));
+    }
+    judge(m);
+  }
+
+  private void judge(Machine m) {
+    if (!m.faulty && m.failsWhatItStarts()) {
       m.faulty = true;
-      log.warn("event=machine_faulty term={} machine={} errors={}", term, m.name, m.errors);
+      log.warn("event=machine_faulty term={} machine={} strikes={}", term, m.name, m.strikes());
     }
   }
 
@@ -1152,7 +1171,7 @@
     record Ranked(Job job, int band, Turn turn) {}
     List<Ranked> ranked = new ArrayList<>();
     for (Job j : queue) {
-      if (!now.isBefore(j.notBefore)) {
+      if (!now.isBefore(j.notBefore) && !(j.mistaken() && !j.placed.isEmpty())) {
         Turn turn = turns.apply(j);
         boolean begins = begins(j, now);
         // In the top band nothing goes before the order of the design; below it, what has waited
@@ -1246,7 +1265,8 @@
 
   private void place(Placer placer, Job j, Set<Machine> touched, Instant now) {
     boolean pressing = pressing(j, now);
-    boolean one = begins(j, now);
+    // Of a job that fails everywhere one task is tried at a time: it takes no room and no writes.
+    boolean one = begins(j, now) || j.mistaken();
     for (int i = j.nextPending(0); i >= 0; i = j.nextPending(i + 1)) {
       Optional<Placer.Choice> choice = placer.place(j, pressing);
       j.noRoom = choice.isEmpty();
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -47,6 +47,11 @@
 
   long commands;
 
+  /** Questions of a storm, and how many of them were answered. */
+  int asked;
+
+  int told;
+
   /** Starts of tasks that were done before. */
   int repeats;
 
