--- a/src/main/java/io/pearscale/cli/SettingsReader.java
+++ b/src/main/java/io/pearscale/cli/SettingsReader.java
@@ -88,7 +88,8 @@
         new Settings.Cloud(
             number(cloud, "rps", "facts.cloud.", 0.01),
             seconds(cloud, "list_lag_s", "facts.cloud.")),
-        (int) facts.path("limits").path("fd_limit").asDouble(1000));
+        (int) facts.path("limits").path("fd_limit").asDouble(1000),
+        facts.path("limits").path("cpu_share").asDouble(1.0));
   }
 
   private JsonNode table(JsonNode from, String key, String where) throws SettingsError {
--- a/src/main/java/io/pearscale/coordination/ElectionActor.java
+++ b/src/main/java/io/pearscale/coordination/ElectionActor.java
@@ -33,7 +33,6 @@
  * good renewal was <em>sent</em>.
  */
 public final class ElectionActor extends Actor<ElectionActor.Message> {
-  private static final Duration TTL = Duration.ofMillis(2200);
   private static final Duration RENEW = Duration.ofMillis(550);
 
   /** A leader whose links are refused writes more often than this, see {@link #BEAT}. */
@@ -320,7 +319,7 @@
       standing = false;
       return;
     }
-    state.grant(TTL, reply -> tell(new Granted(r, reply)));
+    state.grant(settings.grantTime(), reply -> tell(new Granted(r, reply)));
   }
 
   private void granted(Reply reply) {
--- a/src/main/java/io/pearscale/protocol/Settings.java
+++ b/src/main/java/io/pearscale/protocol/Settings.java
@@ -19,7 +19,14 @@
     Workers workers,
     State stateLimits,
     Cloud cloudLimits,
-    int maxConnections) {
+    int maxConnections,
+    double cpuShare) {
+
+  /** How long a leader on a whole or half core may be silent before another is elected. */
+  private static final Duration SHORTEST_GRANT = Duration.ofMillis(2200);
+
+  private static final Duration LONGEST_GRANT = Duration.ofSeconds(6);
+  private static final double HALF_CORE = 0.5;
 
   /** A team's guarantee and limit; an amount of 0 means that there is none. */
   public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
@@ -55,4 +62,20 @@
     Duration room = workers.cancel().minus(workers.lease()).minusSeconds(6);
     return room.compareTo(Duration.ofSeconds(1)) < 0 ? Duration.ofSeconds(1) : room;
   }
+
+  /**
+   * For how long the leader's grant is asked. On a small part of a core a start, a takeover or a
+   * large pass keeps a healthy leader from renewing for seconds, and deposing it costs another
+   * takeover, on a processor that is as slow. What takes a process by surprise grows with its
+   * slowness, though not all of it: the square root is between a grant that is always short and one
+   * that lets a leader which is cut off keep others waiting for tens of seconds.
+   */
+  public Duration grantTime() {
+    double slowness = Math.sqrt(HALF_CORE / Math.max(1e-3, cpuShare));
+    Duration time = Duration.ofMillis((long) (SHORTEST_GRANT.toMillis() * slowness));
+    if (time.compareTo(SHORTEST_GRANT) < 0) {
+      return SHORTEST_GRANT;
+    }
+    return time.compareTo(LONGEST_GRANT) > 0 ? LONGEST_GRANT : time;
+  }
 }
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -87,6 +87,7 @@
         }
       }
       case "drift" -> world.nodes.get(w.get(1)).drift = Double.parseDouble(w.get(2));
+      case "cpu-share" -> world.cpuShare = Double.parseDouble(w.get(1));
       case "zones" -> world.zones = w.subList(1, w.size());
       case "type" -> world.cloud.types.put(w.get(1), type(w.get(1), o));
       case "capacity" ->
--- a/src/test/java/io/pearscale/sim/SimCloud.java
+++ b/src/test/java/io/pearscale/sim/SimCloud.java
@@ -140,7 +140,7 @@
       SimWorker w = world.workers.get(r.name);
       list.addObject()
           .put("uid", r.name)
-          .put("address", r.name)
+          .put("address", world.machineAddress.apply(r.name))
           .put("breed", r.type)
           .put("yard", r.zone)
           .put("windfall", r.spot)
--- a/src/test/java/io/pearscale/sim/SimNode.java
+++ b/src/test/java/io/pearscale/sim/SimNode.java
@@ -25,6 +25,7 @@
   final String name;
   private int life;
   private Controller controller;
+  private Optional<External> external = Optional.empty();
   private final Map<String, Instant> heard = new HashMap<>();
 
   // Standing still: what was about to be sent, timers that came due, what came in.
@@ -43,7 +44,18 @@
   }
 
   boolean isUp() {
-    return controller != null;
+    return controller != null || external.isPresent();
+  }
+
+  /** Lets a process outside of the simulated world answer in place of a controller in it. */
+  void answerBy(External process) {
+    external = Optional.of(process);
+  }
+
+  /** A controller's process outside of the simulated world. */
+  interface External {
+    void request(
+        String from, String method, String path, JsonNode body, Consumer<Calls.Reply> answer);
   }
 
   /** The seam that real sockets fill in production. */
@@ -252,7 +264,11 @@
     fromPeer(world.nodes.keySet().stream().filter(n -> !n.equals(name)).findFirst().get(), frame);
   }
 
-  void serve(String method, String path, JsonNode body, Consumer<Calls.Reply> answer) {
+  void serve(String from, String method, String path, JsonNode body, Consumer<Calls.Reply> answer) {
+    if (external.isPresent()) {
+      external.get().request(from, method, path, body, answer);
+      return;
+    }
     if (controller == null) {
       answer.accept(Calls.Reply.NONE);
       return;
--- a/src/test/java/io/pearscale/sim/SimWorker.java
+++ b/src/test/java/io/pearscale/sim/SimWorker.java
@@ -173,7 +173,7 @@
     ObjectNode n =
         World.map()
             .put("hive", name)
-            .put("address", name)
+            .put("address", world.machineAddress.apply(name))
             .put("breed", type.name())
             .put("yard", zone)
             .put("windfall", spot)
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -22,6 +22,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
@@ -71,11 +72,18 @@
   final Map<String, SimUser> users = new LinkedHashMap<>();
   final Map<String, JobSpec> submitted = new HashMap<>();
 
+  /** The address under which controllers reach a machine. */
+  UnaryOperator<String> machineAddress = name -> name;
+
   // Settings of the simulated deployment.
   List<String> zones = List.of("a", "b");
   Duration report = Duration.ofSeconds(2);
   Duration lease = Duration.ofSeconds(16);
   Duration cancel = Duration.ofSeconds(36);
+
+  /** The part of a core that the settings give each controller. */
+  double cpuShare = 1;
+
   final List<Settings.Team> teams = new ArrayList<>();
   final List<Settings.Objective> objectives = new ArrayList<>();
 
@@ -231,14 +239,15 @@
                 from, to, method, path, copy, reply -> carry(to, from, () -> once.accept(reply))));
   }
 
-  private void serve(
+  /** What a host of the world answers to a request. */
+  void serve(
       String from, String to, String method, String path, JsonNode body, Consumer<Reply> answer) {
     if (to.equals("state")) {
       state.serve(from, method, path, body, answer);
     } else if (to.equals("cloud")) {
       cloud.serve(method, path, body, answer);
     } else if (nodes.containsKey(to)) {
-      nodes.get(to).serve(method, path, body, answer);
+      nodes.get(to).serve(from, method, path, body, answer);
     } else if (workers.containsKey(to)) {
       workers.get(to).serve(method, path, body, answer);
     }
@@ -266,7 +275,8 @@
         new Settings.Workers(report, lease, cancel),
         new Settings.State(100, 60, 8192, 24),
         new Settings.Cloud(4, cloud.lag),
-        1000);
+        1000,
+        cpuShare);
   }
 
   // ---- Rules about tasks ----
