Share timers between requests, and gather records to peers for 15 ms

Each request and each relayed report asked the loop for a timer that fired in vain when its answer had long come. Records to a peer were written every 4 ms: in a profile of a follower a third of its samples were writes. 1,000 answered requests cost at most 40 timers, 1,000 relayed reports 20; the latter was seen failing before (1,000).

--- a/src/main/java/io/pearscale/coordination/RelayActor.java
+++ b/src/main/java/io/pearscale/coordination/RelayActor.java
@@ -9,7 +9,10 @@
 import io.pearscale.transport.Links;
 import io.pearscale.transport.Loop;
 import java.time.Duration;
-import java.util.HashMap;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
@@ -23,6 +26,7 @@
 public final class RelayActor extends Actor<RelayActor.Message> {
   // Workers drop answers after 4 s; a late one would only hold the worker here.
   private static final Duration PATIENCE = Duration.ofMillis(1500);
+  private static final Duration SWEEP = Duration.ofMillis(250);
 
   /** What the actor understands. */
   public sealed interface Message {}
@@ -37,12 +41,19 @@
   /** Who leads has changed. */
   public record LeaderIs(long term, Optional<String> name) implements Message {}
 
-  private record Overdue(long exchange) implements Message {}
+  private record Sweep() implements Message {}
+
+  /** A report that waits for the leader's answer until a time. */
+  private record Exchange(Instant until, BiConsumer<ReportAnswer, Optional<String>> answer) {}
 
   private final String self;
   private final Links links;
   private final BiConsumer<Report, Consumer<ReportAnswer>> local;
-  private final Map<Long, BiConsumer<ReportAnswer, Optional<String>>> open = new HashMap<>();
+
+  /** Open exchanges, the oldest first, which is also the first to be overdue. */
+  private final Map<Long, Exchange> open = new LinkedHashMap<>();
+
+  private boolean sweepPlanned;
   private Optional<String> leader = Optional.empty();
   private long leaderTerm;
   private long exchanges;
@@ -67,8 +78,8 @@
         leaderTerm = m.term;
         leader = m.name;
       }
-    } else if (message instanceof Overdue m) {
-      close(m.exchange, ReportAnswer.UNAVAILABLE);
+    } else if (message instanceof Sweep) {
+      sweep();
     }
   }
 
@@ -81,8 +92,8 @@
       long exchange = ++exchanges;
       byte[] frame = PeerMessage.encode(new ForwardedReport(exchange, m.report));
       if (links.connected().contains(leader.get()) && links.send(leader.get(), frame)) {
-        open.put(exchange, m.answer);
-        loop.after(PATIENCE, () -> tell(new Overdue(exchange)));
+        open.put(exchange, new Exchange(loop.clock().instant().plus(PATIENCE), m.answer));
+        planSweep();
       } else {
         m.answer.accept(ReportAnswer.UNAVAILABLE, leader);
       }
@@ -90,9 +101,33 @@
   }
 
   private void close(long exchange, ReportAnswer answer) {
-    BiConsumer<ReportAnswer, Optional<String>> to = open.remove(exchange);
-    if (to != null) {
-      to.accept(answer, Optional.empty());
+    Exchange closed = open.remove(exchange);
+    if (closed != null) {
+      closed.answer.accept(answer, Optional.empty());
+    }
+  }
+
+  /** One timer serves all open exchanges: one for each would cost as much as a short report. */
+  private void planSweep() {
+    if (!sweepPlanned) {
+      sweepPlanned = true;
+      loop.after(SWEEP, () -> tell(new Sweep()));
+    }
+  }
+
+  private void sweep() {
+    sweepPlanned = false;
+    Instant now = loop.clock().instant();
+    List<Long> overdue = new ArrayList<>();
+    for (Map.Entry<Long, Exchange> entry : open.entrySet()) {
+      if (now.isBefore(entry.getValue().until)) {
+        break;
+      }
+      overdue.add(entry.getKey());
+    }
+    overdue.forEach(exchange -> close(exchange, ReportAnswer.UNAVAILABLE));
+    if (!open.isEmpty()) {
+      planSweep();
     }
   }
 }
--- a/src/main/java/io/pearscale/transport/HttpCalls.java
+++ b/src/main/java/io/pearscale/transport/HttpCalls.java
@@ -44,6 +44,7 @@
   private static final int IDLE_PER_HOST = 6;
 
   private final Loop loop;
+  private final Timeouts timeouts;
   private final Dialler dialler;
   private final ByteBufferPool buffers;
   private final int maxOpen;
@@ -60,6 +61,7 @@
   /** Uses at most {@code maxOpen} sockets. */
   public HttpCalls(Loop loop, XnioIoThread thread, ByteBufferPool buffers, int maxOpen) {
     this.loop = loop;
+    this.timeouts = new Timeouts(loop);
     this.dialler = new Dialler(thread);
     this.buffers = buffers;
     this.maxOpen = maxOpen;
@@ -80,6 +82,7 @@
     ClientConnection connection;
     IoFuture<StreamConnection> attempt;
     boolean dialling;
+    Timeouts.Timeout timeout;
 
     Pending(String address, Host host, ClientRequest request, byte[] body, Consumer<Reply> answer) {
       this.address = address;
@@ -95,6 +98,7 @@
       }
       Consumer<Reply> to = answer;
       answer = null;
+      timeouts.cancel(timeout);
       if (dialling) {
         dialled();
         attempt.cancel();
@@ -230,7 +234,7 @@
     }
     Host host = hosts.computeIfAbsent(address, a -> new Host());
     Pending pending = new Pending(address, host, request, bytes, answer);
-    loop.after(timeout, () -> pending.finish(Reply.NONE, false));
+    pending.timeout = timeouts.start(timeout, () -> pending.finish(Reply.NONE, false));
     ClientConnection kept;
     while ((kept = host.idle.poll()) != null) {
       idle.remove(kept);
--- a/src/main/java/io/pearscale/transport/PeerLinks.java
+++ b/src/main/java/io/pearscale/transport/PeerLinks.java
@@ -39,7 +39,7 @@
   private static final Duration SILENCE = Duration.ofSeconds(3);
   private static final Duration RETRY = Duration.ofMillis(400);
   private static final Duration DIAL = Duration.ofSeconds(2);
-  private static final Duration GATHER = Duration.ofMillis(4);
+  private static final Duration GATHER = Duration.ofMillis(15);
   private static final int MOST_GATHERED = 64;
 
   private final Loop loop;
--- /dev/null
+++ b/src/test/java/io/pearscale/coordination/RelayActorTest.java
@@ -0,0 +1,88 @@
+package io.pearscale.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pearscale.coordination.RelayActor.Incoming;
+import io.pearscale.coordination.RelayActor.LeaderIs;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.protocol.PeerMessage;
+import io.pearscale.protocol.PeerMessage.ForwardedAnswer;
+import io.pearscale.protocol.PeerMessage.ForwardedReport;
+import io.pearscale.protocol.Report;
+import io.pearscale.protocol.ReportAnswer;
+import io.pearscale.transport.CountingLoop;
+import io.pearscale.transport.Links;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Reports on their way to the leader: each is answered once, and few timers watch over them. */
+class RelayActorTest {
+  private static final Report REPORT =
+      new Report("m-1", "a:1", "small", "a", false, 1, 1, 0, Optional.empty(), List.of());
+
+  private final CountingLoop loop = new CountingLoop();
+  private final List<ForwardedReport> sent = new ArrayList<>();
+  private final List<Integer> answers = new ArrayList<>();
+  private final RelayActor relay =
+      new RelayActor(
+          loop,
+          "hive-0",
+          new Links() {
+            @Override
+            public boolean send(String peer, byte[] frame) {
+              try {
+                sent.add((ForwardedReport) PeerMessage.decode(frame));
+              } catch (Malformed e) {
+                throw new IllegalStateException(e);
+              }
+              return true;
+            }
+
+            @Override
+            public Set<String> connected() {
+              return Set.of("hive-1");
+            }
+          },
+          (report, answer) -> {});
+
+  RelayActorTest() {
+    relay.tell(new LeaderIs(1, Optional.of("hive-1")));
+  }
+
+  private void report() {
+    relay.tell(new Incoming(REPORT, (answer, elsewhere) -> answers.add(answer.status())));
+  }
+
+  @Test
+  void aReportWithoutAnAnswerIsAnswered503InTime() {
+    report();
+    loop.pass(Duration.ofMillis(1499));
+    assertEquals(List.of(), answers);
+    loop.pass(Duration.ofMillis(300));
+    assertEquals(List.of(503), answers);
+    relay.tell(
+        new RelayActor.Answered(
+            new ForwardedAnswer(sent.get(0).exchange(), new ReportAnswer(200, 1, List.of()))));
+    loop.pass(Duration.ofSeconds(1));
+    assertEquals(List.of(503), answers);
+  }
+
+  @Test
+  void aThousandReportsShareTimers() {
+    for (int i = 0; i < 1000; i++) {
+      report();
+      loop.pass(Duration.ofMillis(2));
+      relay.tell(
+          new RelayActor.Answered(
+              new ForwardedAnswer(sent.get(i).exchange(), new ReportAnswer(200, 1, List.of()))));
+      loop.pass(Duration.ofMillis(2));
+    }
+    assertEquals(1000, answers.stream().filter(status -> status == 200).count());
+    assertTrue(loop.asked() <= 20, "timers: " + loop.asked());
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/transport/CountingLoop.java
@@ -0,0 +1,50 @@
+package io.pearscale.transport;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** A loop under a simulated clock that counts the timers that it is asked for. */
+public final class CountingLoop implements Loop {
+  private record Timer(Instant at, long order, Runnable task) {}
+
+  private final PriorityQueue<Timer> timers =
+      new PriorityQueue<>(Comparator.comparing(Timer::at).thenComparing(Timer::order));
+  private Instant now = Instant.EPOCH;
+  private long order;
+  private int asked;
+
+  @Override
+  public void execute(Runnable task) {
+    timers.add(new Timer(now, order++, task));
+  }
+
+  @Override
+  public void after(Duration delay, Runnable task) {
+    asked++;
+    timers.add(new Timer(now.plus(delay), order++, task));
+  }
+
+  @Override
+  public InstantSource clock() {
+    return () -> now;
+  }
+
+  /** How many timers were asked for. */
+  public int asked() {
+    return asked;
+  }
+
+  /** Lets so much time pass. */
+  public void pass(Duration time) {
+    Instant end = now.plus(time);
+    while (!timers.isEmpty() && !timers.peek().at.isAfter(end)) {
+      Timer timer = timers.poll();
+      now = timer.at;
+      timer.task.run();
+    }
+    now = end;
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/transport/TimeoutsTest.java
@@ -0,0 +1,87 @@
+package io.pearscale.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Timeouts fire in time, or never once they are cancelled, and share their timers. */
+class TimeoutsTest {
+  private static final Duration LATE = Duration.ofMillis(70);
+
+  private final CountingLoop loop = new CountingLoop();
+  private final Timeouts timeouts = new Timeouts(loop);
+  private final List<String> fired = new ArrayList<>();
+
+  @Test
+  void aTimeoutFiresOnceAndNotTooEarly() {
+    loop.pass(Duration.ofMinutes(3));
+    timeouts.start(Duration.ofMillis(1500), () -> fired.add("a"));
+    loop.pass(Duration.ofMillis(1499));
+    assertEquals(List.of(), fired);
+    loop.pass(LATE);
+    assertEquals(List.of("a"), fired);
+    loop.pass(Duration.ofMinutes(1));
+    assertEquals(List.of("a"), fired);
+  }
+
+  @Test
+  void timeoutsLongerThanATurnOfTheWheelFireInTheirTurn() {
+    timeouts.start(Duration.ofSeconds(62), () -> fired.add("long"));
+    timeouts.start(Duration.ofSeconds(1), () -> fired.add("short"));
+    loop.pass(Duration.ofSeconds(61));
+    assertEquals(List.of("short"), fired);
+    loop.pass(Duration.ofSeconds(2));
+    assertEquals(List.of("short", "long"), fired);
+  }
+
+  @Test
+  void aCancelledTimeoutDoesNotFire() {
+    Timeouts.Timeout a = timeouts.start(Duration.ofMillis(500), () -> fired.add("a"));
+    timeouts.start(Duration.ofMillis(500), () -> fired.add("b"));
+    timeouts.cancel(a);
+    loop.pass(Duration.ofSeconds(2));
+    assertEquals(List.of("b"), fired);
+  }
+
+  /** The wheel reuses numbers: a late cancel must not hit the timeout that got the number next. */
+  @Test
+  void cancellingWhatIsOverSparesItsSuccessor() {
+    List<Timeouts.Timeout> both = new ArrayList<>();
+    both.add(
+        timeouts.start(
+            Duration.ofMillis(100),
+            () -> timeouts.start(Duration.ofMillis(8192), () -> fired.add("next"))));
+    both.add(timeouts.start(Duration.ofMillis(100), () -> fired.add("second")));
+    loop.pass(Duration.ofMillis(200));
+    assertEquals(List.of("second"), fired);
+    both.forEach(timeouts::cancel);
+    loop.pass(Duration.ofSeconds(9));
+    assertEquals(List.of("second", "next"), fired);
+  }
+
+  @Test
+  void aProcessThatStoodStillFiresAllThatIsDue() {
+    for (int i = 0; i < 40; i++) {
+      timeouts.start(Duration.ofMillis(100 + 100 * i), () -> fired.add("x"));
+    }
+    loop.pass(Duration.ofSeconds(30));
+    assertEquals(40, fired.size());
+  }
+
+  /** A thousand requests that are answered at once cost a few dozen timers, not a thousand. */
+  @Test
+  void answeredRequestsShareTimers() {
+    for (int i = 0; i < 1000; i++) {
+      Timeouts.Timeout t = timeouts.start(Duration.ofMillis(1500), () -> fired.add("x"));
+      loop.pass(Duration.ofMillis(1));
+      timeouts.cancel(t);
+    }
+    loop.pass(Duration.ofSeconds(5));
+    assertEquals(List.of(), fired);
+    assertTrue(loop.asked() <= 40, "timers: " + loop.asked());
+  }
+}
