--- a/src/main/java/io/pearscale/coordination/RelayActor.java
+++ b/src/main/java/io/pearscale/coordination/RelayActor.java
@@ -10,6 +10,7 @@
 import io.pearscale.transport.Loop;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,6 +28,7 @@
   // Workers drop answers after 4 s; a late one would only hold the worker here.
   private static final Duration PATIENCE = Duration.ofMillis(1500);
   private static final Duration SWEEP = Duration.ofMillis(250);
+  private static final int MOST_PARKED = 2000;
 
   /** What the actor understands. */
   public sealed interface Message {}
@@ -43,6 +45,8 @@
 
   private record Sweep() implements Message {}
 
+  private record Parked(Instant until, Incoming report) {}
+
   /** A report that waits for the leader's answer until a time. */
   private record Exchange(Instant until, BiConsumer<ReportAnswer, Optional<String>> answer) {}
 
@@ -53,6 +57,9 @@
   /** Open exchanges, the oldest first, which is also the first to be overdue. */
   private final Map<Long, Exchange> open = new LinkedHashMap<>();
 
+  /** Reports that came while there is no leader, the oldest first. */
+  private final ArrayDeque<Parked> parked = new ArrayDeque<>();
+
   private boolean sweepPlanned;
   private Optional<String> leader = Optional.empty();
   private long leaderTerm;
@@ -77,6 +84,7 @@
       if (m.term >= leaderTerm) {
         leaderTerm = m.term;
         leader = m.name;
+        unpark();
       }
     } else if (message instanceof Sweep) {
       sweep();
@@ -85,7 +93,7 @@
 
   private void incoming(Incoming m) {
     if (leader.isEmpty()) {
-      m.answer.accept(ReportAnswer.UNAVAILABLE, Optional.empty());
+      park(m);
     } else if (leader.get().equals(self)) {
       local.accept(m.report, a -> m.answer.accept(a, Optional.empty()));
     } else {
@@ -100,6 +108,28 @@
     }
   }
 
+  /**
+   * An election takes about a second. A worker that is refused meanwhile is back in a second, at
+   * another controller that knows no more: after a restart of all, such answers took the processor
+   * that the election needed. One that waits is answered by the leader to come.
+   */
+  private void park(Incoming m) {
+    if (parked.size() >= MOST_PARKED) {
+      m.answer.accept(ReportAnswer.UNAVAILABLE, Optional.empty());
+      return;
+    }
+    parked.add(new Parked(loop.clock().instant().plus(PATIENCE), m));
+    planSweep();
+  }
+
+  private void unpark() {
+    if (leader.isPresent()) {
+      List<Parked> reports = List.copyOf(parked);
+      parked.clear();
+      reports.forEach(p -> incoming(p.report));
+    }
+  }
+
   private void close(long exchange, ReportAnswer answer) {
     Exchange closed = open.remove(exchange);
     if (closed != null) {
@@ -126,7 +156,10 @@
       overdue.add(entry.getKey());
     }
     overdue.forEach(exchange -> close(exchange, ReportAnswer.UNAVAILABLE));
-    if (!open.isEmpty()) {
+    while (!parked.isEmpty() && !now.isBefore(parked.peek().until)) {
+      parked.poll().report.answer.accept(ReportAnswer.UNAVAILABLE, Optional.empty());
+    }
+    if (!open.isEmpty() || !parked.isEmpty()) {
       planSweep();
     }
   }
--- a/src/test/java/io/pearscale/coordination/RelayActorTest.java
+++ b/src/test/java/io/pearscale/coordination/RelayActorTest.java
@@ -72,6 +72,31 @@
     assertEquals(List.of(503), answers);
   }
 
+  /** A refused worker asks again in a second, at a controller that knows no more. */
+  @Test
+  void aReportThatComesDuringAnElectionIsAnsweredByTheLeaderToCome() {
+    relay.tell(new LeaderIs(2, Optional.empty()));
+    report();
+    loop.pass(Duration.ofMillis(900));
+    assertEquals(List.of(), answers);
+    relay.tell(new LeaderIs(3, Optional.of("hive-1")));
+    loop.pass(Duration.ofMillis(10));
+    relay.tell(
+        new RelayActor.Answered(
+            new ForwardedAnswer(sent.get(0).exchange(), new ReportAnswer(200, 1, List.of()))));
+    loop.pass(Duration.ofMillis(10));
+    assertEquals(List.of(200), answers);
+  }
+
+  @Test
+  void aReportWithoutALeaderIsAnswered503InTime() {
+    relay.tell(new LeaderIs(2, Optional.empty()));
+    report();
+    loop.pass(Duration.ofMillis(1800));
+    assertEquals(List.of(503), answers);
+    assertEquals(0, sent.size());
+  }
+
   @Test
   void aThousandReportsShareTimers() {
     for (int i = 0; i < 1000; i++) {
