Renew leadership beside the main loop, and leave machines to report where asking takes longer

Renewals now have a loop of their own, which stops when the main loop shows no progress for twice the grant's time.

--- a/src/main/java/io/pearscale/bookkeeping/Controller.java
+++ b/src/main/java/io/pearscale/bookkeeping/Controller.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pearscale.coordination.ElectionActor;
+import io.pearscale.coordination.GrantKeeper;
 import io.pearscale.coordination.RelayActor;
 import io.pearscale.protocol.Malformed;
 import io.pearscale.protocol.PeerMessage;
@@ -68,10 +69,18 @@
   private long copyEpoch;
   private Instant started = Instant.EPOCH;
 
-  /** Wires a controller; {@link #start} sets it going. */
+  /** A loop, and the calls that are made on it. */
+  public record Lane(Loop loop, Calls calls) {}
+
+  /**
+   * Wires a controller; {@link #start} sets it going.
+   *
+   * @param renewals where leadership is renewed, in production beside all else
+   */
   public Controller(
       Loop loop,
       Calls calls,
+      Lane renewals,
       Links links,
       Settings settings,
       Tuning tuning,
@@ -93,8 +102,14 @@
               sendAll(new PeerMessage.Cancelled(job));
               cancelled(job);
             });
+    GrantKeeper keeper =
+        new GrantKeeper(
+            renewals.loop,
+            loop,
+            new StateClient(renewals.loop, renewals.calls, settings),
+            settings.grantTime().multipliedBy(2));
     this.election =
-        new ElectionActor(loop, state, settings, random, List.of(new ElectionListener()));
+        new ElectionActor(loop, state, keeper, settings, random, List.of(new ElectionListener()));
     this.scheduler =
         new SchedulerActor(
             loop,
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -81,6 +81,10 @@
   private static final Duration COMMIT_SPACING = Duration.ofMillis(40);
 
   private static final int PROBES = 40;
+
+  /** What a connection, a question and its answer take of a core, roughly. */
+  private static final Duration PROBE_COST = Duration.ofNanos(800_000);
+
   private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
   private static final Duration LEISURE = Duration.ofSeconds(4);
   private static final int BODY_LIMIT = 40 * 1024;
@@ -141,6 +145,8 @@
 
   private record Pass(long term) implements Message {}
 
+  private record Probes(long term) implements Message {}
+
   private record TryCommit(long term) implements Message {}
 
   private record Committed(long term, Batch batch, Reply reply) implements Message {}
@@ -260,6 +266,9 @@
   /** Questions under way to machines that are to show themselves. */
   private int probing;
 
+  /** Before that, machines are left to report by themselves. */
+  private Instant probesFrom = Instant.MIN;
+
   private Optional<Silence> silence = Optional.empty();
   private Duration lastPass = Duration.ZERO;
   private final Histogram startMillis = new Histogram(3);
@@ -337,6 +346,8 @@
       if (ready) {
         pass();
       }
+    } else if (message instanceof Probes m && leading && m.term == term) {
+      probeMore();
     } else if (message instanceof TryCommit m && leading && m.term == term) {
       commitPlanned = false;
       commit();
@@ -588,7 +599,7 @@
     jobs.values().forEach(this::requeue);
     unprobed.clear();
     unprobed.addAll(machines.values());
-    probeMore();
+    planProbes();
     log.info(
         "event=takeover term={} jobs={} roster={} unseen_tasks={}",
         term,
@@ -1497,8 +1508,28 @@
     }
   }
 
-  /** After a takeover: asks all, a part at a time, since each answer costs time and a socket. */
+  /**
+   * After a takeover all machines report by themselves, and again at once when the answer shows
+   * them the new token. Asking each is sooner only where the processor can open so many connections
+   * in less time than that; elsewhere it delays the answers to those reports, and leases run out.
+   */
+  private void planProbes() {
+    Duration asking = PROBE_COST.multipliedBy(machines.size());
+    boolean soonerThanReports =
+        Fields.seconds(asking) / settings.cpuShare() < Fields.seconds(settings.workers().report());
+    probesFrom = soonerThanReports ? now() : now().plus(reportDue);
+    probeMore();
+    if (!soonerThanReports) {
+      long t = term;
+      loop.after(reportDue, () -> tell(new Probes(t)));
+    }
+  }
+
+  /** Asks all that have not shown themselves, a part at a time: each costs time and a socket. */
   private void probeMore() {
+    if (now().isBefore(probesFrom)) {
+      return;
+    }
     while (probing < PROBES && !unprobed.isEmpty()) {
       Machine m = unprobed.poll();
       if (!m.settled && !m.calling && machines.get(m.name) == m && !m.address.isEmpty()) {
--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -22,32 +22,31 @@
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
-/** A controller on real sockets: one XNIO thread does everything. */
+/** A controller on real sockets: one XNIO thread does all but renew the leadership. */
 final class Server {
   private static final Logger LOG = LoggerFactory.getLogger(Server.class);
   private static final Duration SOCKETS_LOGGED = Duration.ofMinutes(1);
 
+  private static final int RENEWAL_CONNECTIONS = 4;
+
   private final XnioWorker worker;
+  private final XnioWorker renewalWorker;
   private final HttpServer http;
   private Controller controller;
 
   Server(Settings settings, Tuning tuning) throws IOException {
-    worker =
-        Xnio.getInstance()
-            .createWorker(
-                OptionMap.builder()
-                    .set(Options.WORKER_IO_THREADS, 1)
-                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                    .set(Options.TCP_NODELAY, true)
-                    .getMap());
+    worker = oneThread();
+    renewalWorker = oneThread();
     XnioLoop loop = new XnioLoop(worker.getIoThread());
+    XnioLoop renewalLoop = new XnioLoop(renewalWorker.getIoThread(), loop.clock());
     ByteBufferPool buffers = new DefaultByteBufferPool(false, 8192, 200, 4);
     // Most sockets are for workers and users, who may all come to one controller when it is the
     // only
     // one left. What we open ourselves is closed when others need it.
     HttpCalls calls =
         new HttpCalls(loop, worker.getIoThread(), buffers, settings.maxConnections() / 5);
+    HttpCalls renewalCalls =
+        new HttpCalls(renewalLoop, renewalWorker.getIoThread(), buffers, RENEWAL_CONNECTIONS);
     PeerLinks links =
         new PeerLinks(
             loop,
@@ -68,7 +67,15 @@
             });
     RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
     controller =
-        new Controller(loop, calls, links, settings, tuning, random, InstantSource.system());
+        new Controller(
+            loop,
+            calls,
+            new Controller.Lane(renewalLoop, renewalCalls),
+            links,
+            settings,
+            tuning,
+            random,
+            InstantSource.system());
     http =
         new HttpServer(
             settings.clientListen(),
@@ -90,6 +97,17 @@
         });
   }
 
+  private static XnioWorker oneThread() throws IOException {
+    return Xnio.getInstance()
+        .createWorker(
+            OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .getMap());
+  }
+
   private void logSockets(XnioLoop loop, HttpCalls calls) {
     LOG.info("event=sockets served={} called={}", http.open(), calls.open());
     loop.after(SOCKETS_LOGGED, () -> logSockets(loop, calls));
@@ -102,5 +120,6 @@
   void stop() {
     http.stop();
     worker.shutdownNow();
+    renewalWorker.shutdownNow();
   }
 }
--- a/src/main/java/io/pearscale/coordination/ElectionActor.java
+++ b/src/main/java/io/pearscale/coordination/ElectionActor.java
@@ -119,6 +119,7 @@
   }
 
   private final StateClient state;
+  private final GrantKeeper keeper;
   private final Settings settings;
   private final RandomGenerator random;
   private final List<Listener> listeners;
@@ -149,11 +150,13 @@
   public ElectionActor(
       Loop loop,
       StateClient state,
+      GrantKeeper keeper,
       Settings settings,
       RandomGenerator random,
       List<Listener> listeners) {
     super(loop);
     this.state = state;
+    this.keeper = keeper;
     this.settings = settings;
     this.random = random;
     this.listeners = listeners;
@@ -384,17 +387,19 @@
     listeners.forEach(l -> l.leader(term, Optional.of(settings.host())));
     listeners.forEach(l -> l.won(term, termStamp, evidence));
     int r = round;
+    keeper.keep(grant, (sent, reply) -> tell(new Renewed(r, sent, reply)));
     loop.after(RENEW, () -> tell(new Renew(r)));
     planExpiry();
   }
 
+  /** Shows that this loop goes on, and asks the peers when renewals stay out. */
   private void renew() {
     int r = round;
-    Instant sent = loop.clock().instant();
-    state.extend(grant, reply -> tell(new Renewed(r, sent, reply)));
+    Instant now = loop.clock().instant();
+    keeper.progress();
     loop.after(RENEW, () -> tell(new Renew(r)));
-    if (Duration.between(evidence, sent).compareTo(DOUBT) > 0) {
-      ask(sent);
+    if (Duration.between(evidence, now).compareTo(DOUBT) > 0) {
+      ask(now);
     }
   }
 
@@ -465,6 +470,7 @@
   private void stepDown(String reason) {
     log.info("event=leadership_lost term={} reason={}", term, reason);
     leading = false;
+    keeper.release();
     round++;
     standing = false;
     long old = term;
--- a/src/main/java/io/pearscale/transport/XnioLoop.java
+++ b/src/main/java/io/pearscale/transport/XnioLoop.java
@@ -11,11 +11,17 @@
 public final class XnioLoop implements Loop {
   private static final Logger LOG = LoggerFactory.getLogger(XnioLoop.class);
   private final XnioIoThread thread;
-  private final SteadyClock clock = new SteadyClock();
+  private final InstantSource clock;
 
   /** Runs tasks on the given thread. */
   public XnioLoop(XnioIoThread thread) {
+    this(thread, new SteadyClock());
+  }
+
+  /** Runs tasks on the given thread; loops of one process share their clock. */
+  public XnioLoop(XnioIoThread thread, InstantSource clock) {
     this.thread = thread;
+    this.clock = clock;
   }
 
   @Override
--- a/src/test/java/io/pearscale/sim/ElectionTest.java
+++ b/src/test/java/io/pearscale/sim/ElectionTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pearscale.coordination.ElectionActor;
+import io.pearscale.coordination.GrantKeeper;
 import io.pearscale.protocol.PeerMessage.LiveJobs;
 import io.pearscale.protocol.Settings;
 import io.pearscale.storage.StateClient;
@@ -33,6 +34,11 @@
     return new ElectionActor(
         this,
         new StateClient(this, this, settings),
+        new GrantKeeper(
+            this,
+            this,
+            new StateClient(this, this, settings),
+            settings.grantTime().multipliedBy(2)),
         settings,
         RandomGeneratorFactory.of("L64X128MixRandom").create(1),
         List.of(this));
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -321,6 +321,8 @@
       good = world.asked > 0 && world.told >= world.asked * Double.parseDouble(w.get(2));
     } else if (w.get(0).equals("state-requests")) {
       good = world.state.requests <= Long.parseLong(w.get(2));
+    } else if (w.get(0).equals("commands")) {
+      good = world.commands <= Long.parseLong(w.get(2));
     } else if (w.get(0).equals("repeats")) {
       good = world.repeats <= Integer.parseInt(w.get(2));
     } else if (w.get(0).equals("leader")) {
--- a/src/test/java/io/pearscale/sim/SimNode.java
+++ b/src/test/java/io/pearscale/sim/SimNode.java
@@ -219,6 +219,7 @@
         new Controller(
             p,
             p,
+            new Controller.Lane(p, p),
             p,
             world.settings(name),
             Tuning.defaults(),
