--- /dev/null
+++ b/src/main/java/io/pearscale/bookkeeping/JobOrder.java
@@ -0,0 +1,133 @@
+package io.pearscale.bookkeeping;
+
+import io.pearscale.protocol.Priority;
+import io.pearscale.protocol.Settings.Objective;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * The order in which a pass decides jobs: by priority, then by what can still be over in time, then
+ * by when it is due.
+ */
+final class JobOrder {
+  /** An image may have to be fetched before a task runs. */
+  private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(6);
+
+  private final List<Objective> objectives;
+  private final JobClasses classes;
+
+  JobOrder(List<Objective> objectives, JobClasses classes) {
+    this.objectives = objectives;
+    this.classes = classes;
+  }
+
+  /** When a job should be over: its own deadline, or what its class is expected to keep. */
+  private Instant due(Job j) {
+    if (j.spec.deadline().isPresent()) {
+      return j.submitted.plus(j.spec.deadline().get());
+    }
+    for (Objective o : objectives) {
+      if (o.kind().equals("finished") && o.jobClass().equals(j.spec.jobClass())) {
+        return j.submitted.plus(o.within());
+      }
+    }
+    return j.submitted.plus(Duration.ofHours(1));
+  }
+
+  /**
+   * Whose turn it is, among jobs of one priority: first what can still be over in time, then what
+   * is due first.
+   */
+  record Turn(int lateness, Instant due) implements Comparable<Turn> {
+    @Override
+    public int compareTo(Turn other) {
+      int c = Integer.compare(lateness, other.lateness);
+      return c != 0 ? c : due.compareTo(other.due);
+    }
+  }
+
+  /** The jobs' turns as of now, each worked out when it is first asked for. */
+  Function<Job, Turn> turns(Instant now) {
+    Map<Job, Turn> known = new HashMap<>();
+    return j -> known.computeIfAbsent(j, k -> turn(k, now));
+  }
+
+  private Turn turn(Job j, Instant now) {
+    Instant due = due(j);
+    Instant end = now.plus(j.spec.estimate());
+    Duration allowed = Duration.between(j.submitted, due);
+    int lateness =
+        j.spec.service() || !end.isAfter(due)
+            ? 0
+            : end.isAfter(j.submitted.plus(allowed.multipliedBy(3).dividedBy(2))) ? 2 : 1;
+    return new Turn(lateness, j.spec.service() ? j.submitted : order(j, due));
+  }
+
+  /** Waiting jobs, in the order in which they are decided. */
+  List<Job> waiting(Collection<Job> queue, Function<Job, Turn> turns, Instant now) {
+    record Ranked(Job job, int band, Turn turn) {}
+    List<Ranked> ranked = new ArrayList<>();
+    for (Job j : queue) {
+      if (!now.isBefore(j.notBefore) && !(j.mistaken() && !j.placed.isEmpty())) {
+        Turn turn = turns.apply(j);
+        boolean begins = begins(j, now);
+        // In the top band nothing goes before the order of the design; below it, what has waited
+        // for long without a single task running gets one of them started first.
+        int band = j.spec.priority() == Priority.CRITICAL ? 0 : begins ? 1 : 2;
+        ranked.add(new Ranked(j, band, begins ? new Turn(0, turn.due) : turn));
+      }
+    }
+    ranked.sort(
+        Comparator.comparingInt((Ranked r) -> r.band)
+            .thenComparing(r -> r.job.spec.priority(), Comparator.reverseOrder())
+            .thenComparing(r -> r.turn)
+            .thenComparing(r -> r.job.spec.id()));
+    List<Job> result = new ArrayList<>();
+    ranked.forEach(r -> result.add(r.job));
+    return result;
+  }
+
+  /** Whether no task of a batch job has begun in a time in which its users expect that. */
+  static boolean begins(Job j, Instant now) {
+    return !j.spec.service()
+        && !j.begun
+        && j.done.isEmpty()
+        && now.isAfter(j.submitted.plus(Job.LONG_WAIT))
+        && j.placed.isEmpty();
+  }
+
+  /**
+   * When a job's turn is, among others like it. Jobs that are expected to be over within a time
+   * that does not depend on their size come the earlier the less is left of them: so more of them
+   * are over in time than if each got a part. A large one comes later, but its turn comes.
+   */
+  private Instant order(Job j, Instant due) {
+    if (j.spec.deadline().isPresent() || j.spec.service() || !classes.sized(j.spec.jobClass())) {
+      return due;
+    }
+    Duration allowed = Duration.between(j.submitted, due);
+    double left = j.spec.tasks() - j.done.cardinality();
+    double part = Math.min(1, 0.2 + left / Math.max(1, classes.largeJob(j.spec.jobClass())));
+    return j.submitted.plusMillis((long) (allowed.toMillis() * part));
+  }
+
+  /**
+   * Whether the job can't wait for room to become free by itself. Work with a deadline stops others
+   * only when waiting longer would put the deadline at risk, since what it stops is done again.
+   */
+  static boolean pressing(Job j, Instant now) {
+    if (j.spec.service() || j.spec.deadline().isEmpty()) {
+      return true;
+    }
+    // Estimates are often wrong by half, and an image may have to be fetched first.
+    Duration need = j.spec.estimate().multipliedBy(3).dividedBy(2).plus(FETCH_ALLOWANCE);
+    return now.plus(need).isAfter(j.submitted.plus(j.spec.deadline().get()));
+  }
+}
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -13,12 +13,10 @@
 import io.pearscale.protocol.Order;
 import io.pearscale.protocol.PeerMessage.JobCount;
 import io.pearscale.protocol.PeerMessage.LiveJobs;
-import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.Report.TaskReport;
 import io.pearscale.protocol.ReportAnswer;
 import io.pearscale.protocol.Settings;
-import io.pearscale.protocol.Settings.Objective;
 import io.pearscale.protocol.Settings.Team;
 import io.pearscale.protocol.TaskId;
 import io.pearscale.storage.Keys;
@@ -101,7 +99,6 @@
   private static final Duration WATCH_AGE = Duration.ofSeconds(3);
 
   private static final int MOST_CANCELLED = 20_000;
-  private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(6);
 
   /** What the actor understands. */
   public sealed interface Message {}
@@ -169,12 +166,6 @@
       List<String> dropped,
       boolean catalogue) {}
 
-  /**
-   * Whether few machines are silent, and whether it is not most of them; the zones of which most
-   * are.
-   */
-  private record Silence(boolean few, boolean minority, Set<String> zones) {}
-
   /** Marks of a job are kept in parts. */
   private record Part(Job job, int part) {
     @Override
@@ -249,6 +240,7 @@
   private final Duration reportDue;
 
   private final JobClasses classes;
+  private final JobOrder order;
   private final Fleet fleet;
   private boolean catalogueDirty;
   private boolean committing;
@@ -302,6 +294,7 @@
     this.cloud = new CloudActor(loop, calls, settings, e -> tell(new CloudSaid(e)));
     this.reportDue = settings.workers().report().multipliedBy(13).dividedBy(10);
     this.classes = new JobClasses(settings.objectives(), types.values());
+    this.order = new JobOrder(settings.objectives(), classes);
     this.fleet = new Fleet(tuning, teams, classes);
     newBooks();
     settings.teams().forEach(t -> teams.put(t.name(), t));
@@ -1159,113 +1152,10 @@
     return uses;
   }
 
-  /** When a job should be over: its own deadline, or what its class is expected to keep. */
-  private Instant due(Job j) {
-    if (j.spec.deadline().isPresent()) {
-      return j.submitted.plus(j.spec.deadline().get());
-    }
-    for (Objective o : settings.objectives()) {
-      if (o.kind().equals("finished") && o.jobClass().equals(j.spec.jobClass())) {
-        return j.submitted.plus(o.within());
-      }
-    }
-    return j.submitted.plus(Duration.ofHours(1));
-  }
-
-  /**
-   * Whose turn it is, among jobs of one priority: first what can still be over in time, then what
-   * is due first.
-   */
-  private record Turn(int lateness, Instant due) implements Comparable<Turn> {
-    @Override
-    public int compareTo(Turn other) {
-      int c = Integer.compare(lateness, other.lateness);
-      return c != 0 ? c : due.compareTo(other.due);
-    }
-  }
-
-  /** The jobs' turns as of now, each worked out when it is first asked for. */
-  private Function<Job, Turn> turns(Instant now) {
-    Map<Job, Turn> known = new HashMap<>();
-    return j -> known.computeIfAbsent(j, k -> turn(k, now));
-  }
-
-  private Turn turn(Job j, Instant now) {
-    Instant due = due(j);
-    Instant end = now.plus(j.spec.estimate());
-    Duration allowed = Duration.between(j.submitted, due);
-    int lateness =
-        j.spec.service() || !end.isAfter(due)
-            ? 0
-            : end.isAfter(j.submitted.plus(allowed.multipliedBy(3).dividedBy(2))) ? 2 : 1;
-    return new Turn(lateness, j.spec.service() ? j.submitted : order(j, due));
-  }
-
-  /** Waiting jobs, in the order in which they are decided. */
-  private List<Job> waiting(Instant now, Function<Job, Turn> turns) {
-    record Ranked(Job job, int band, Turn turn) {}
-    List<Ranked> ranked = new ArrayList<>();
-    for (Job j : queue) {
-      if (!now.isBefore(j.notBefore) && !(j.mistaken() && !j.placed.isEmpty())) {
-        Turn turn = turns.apply(j);
-        boolean begins = begins(j, now);
-        // In the top band nothing goes before the order of the design; below it, what has waited
-        // for long without a single task running gets one of them started first.
-        int band = j.spec.priority() == Priority.CRITICAL ? 0 : begins ? 1 : 2;
-        ranked.add(new Ranked(j, band, begins ? new Turn(0, turn.due) : turn));
-      }
-    }
-    ranked.sort(
-        Comparator.comparingInt((Ranked r) -> r.band)
-            .thenComparing(r -> r.job.spec.priority(), Comparator.reverseOrder())
-            .thenComparing(r -> r.turn)
-            .thenComparing(r -> r.job.spec.id()));
-    List<Job> result = new ArrayList<>();
-    ranked.forEach(r -> result.add(r.job));
-    return result;
-  }
-
-  /** Whether no task of a batch job has begun in a time in which its users expect that. */
-  private static boolean begins(Job j, Instant now) {
-    return !j.spec.service()
-        && !j.begun
-        && j.done.isEmpty()
-        && now.isAfter(j.submitted.plus(Job.LONG_WAIT))
-        && j.placed.isEmpty();
-  }
-
-  /**
-   * When a job's turn is, among others like it. Jobs that are expected to be over within a time
-   * that does not depend on their size come the earlier the less is left of them: so more of them
-   * are over in time than if each got a part. A large one comes later, but its turn comes.
-   */
-  private Instant order(Job j, Instant due) {
-    if (j.spec.deadline().isPresent() || j.spec.service() || !classes.sized(j.spec.jobClass())) {
-      return due;
-    }
-    Duration allowed = Duration.between(j.submitted, due);
-    double left = j.spec.tasks() - j.done.cardinality();
-    double part = Math.min(1, 0.2 + left / Math.max(1, classes.largeJob(j.spec.jobClass())));
-    return j.submitted.plusMillis((long) (allowed.toMillis() * part));
-  }
-
-  /**
-   * Whether the job can't wait for room to become free by itself. Work with a deadline stops others
-   * only when waiting longer would put the deadline at risk, since what it stops is done again.
-   */
-  private boolean pressing(Job j, Instant now) {
-    if (j.spec.service() || j.spec.deadline().isEmpty()) {
-      return true;
-    }
-    // Estimates are often wrong by half, and an image may have to be fetched first.
-    Duration need = j.spec.estimate().multipliedBy(3).dividedBy(2).plus(FETCH_ALLOWANCE);
-    return now.plus(need).isAfter(j.submitted.plus(j.spec.deadline().get()));
-  }
-
   private void pass() {
     Instant now = now();
-    Function<Job, Turn> turns = turns(now);
-    List<Job> waiting = waiting(now, turns);
+    Function<Job, JobOrder.Turn> turns = order.turns(now);
+    List<Job> waiting = order.waiting(queue, turns, now);
     if (!waiting.isEmpty()) {
       List<Machine> usable = new ArrayList<>();
       for (Machine m : machines.values()) {
@@ -1298,9 +1188,9 @@
   }
 
   private void place(Placer placer, Job j, Set<Machine> touched, Instant now) {
-    boolean pressing = pressing(j, now);
+    boolean pressing = JobOrder.pressing(j, now);
     // Of a job that fails everywhere one task is tried at a time: it takes no room and no writes.
-    boolean one = begins(j, now) || j.mistaken();
+    boolean one = JobOrder.begins(j, now) || j.mistaken();
     for (int i = j.nextPending(0); i >= 0; i = j.nextPending(i + 1)) {
       Optional<Placer.Choice> choice = placer.place(j, pressing);
       j.noRoom = choice.isEmpty();
@@ -2031,7 +1921,7 @@
     // be
     // marked or an election. Other work is done again, the sooner the better.
     boolean serves = m.replicas() > 0;
-    boolean few = silence(now).few;
+    boolean few = silence(now).few();
     Duration patience =
         serves && (m.settled || !few) ? settings.workers().lease().dividedBy(2) : silentAfter();
     boolean deaf =
@@ -2040,7 +1930,7 @@
             && m.missedProbes >= 2
             && silence.compareTo(patience) > 0
             && (!m.placements.isEmpty() || !m.settled)
-            && (few || (serves && silence(now).minority));
+            && (few || (serves && silence(now).minority()));
     if (!m.faulty && m.takenAt.isEmpty() && m.life == Life.UP) {
       if (now.isAfter(m.heard.plus(settings.workers().report().multipliedBy(4)))) {
         unplan(m);
@@ -2053,7 +1943,7 @@
             && now.isAfter(m.rented.plus(m.type.boot().multipliedBy(4)).plusSeconds(5));
     // When most of a zone is silent, it is cut off, and its machines come back with it, each with
     // the images that it has: those given back would have to be rented again, and boot, and fetch.
-    int leases = silence(now).zones.contains(m.zone) ? LEASES_OF_A_CUT : 2;
+    int leases = silence(now).zones().contains(m.zone) ? LEASES_OF_A_CUT : 2;
     boolean silentLong =
         m.lost
             && now.isAfter(spoke.plus(settings.workers().lease().multipliedBy(leases)))
@@ -2100,30 +1990,12 @@
    */
   private Silence silence(Instant now) {
     if (silence.isEmpty()) {
-      silence = Optional.of(countSilent(now));
+      silence =
+          Optional.of(Silence.count(machines.values(), this::spoke, now.minus(silentAfter())));
     }
     return silence.get();
   }
 
-  private Silence countSilent(Instant now) {
-    int up = 0;
-    int silent = 0;
-    Instant limit = now.minus(silentAfter());
-    Map<String, Integer> byZone = new HashMap<>();
-    for (Machine m : machines.values()) {
-      if (m.life == Life.UP && m.everReported) {
-        byZone.merge(m.zone, spoke(m).isBefore(limit) ? 1 : -1, Integer::sum);
-        if (!m.lost) {
-          up++;
-          silent += m.heard.isBefore(limit) ? 1 : 0;
-        }
-      }
-    }
-    byZone.values().removeIf(n -> n <= 0);
-    return new Silence(
-        silent <= Math.max(2, up / 6) && silent * 2 < up, silent * 2 < up, byZone.keySet());
-  }
-
   /** When a machine was last heard; one that a new leader has not heard yet counts from its win. */
   private Instant spoke(Machine m) {
     return m.heard.isAfter(wonAt) ? m.heard : wonAt;
@@ -2201,10 +2073,10 @@
                 machines.values(),
                 m -> placeable(m, now),
                 jobs.values(),
-                waiting(now, turns(now)),
+                order.waiting(queue, order.turns(now), now),
                 uses(),
                 types.values(),
-                silence(now).zones,
+                silence(now).zones(),
                 mayGiveBack),
             now);
     plan.hires()
