--- a/src/test/java/io/pearscale/sim/RandomRunsTest.java
+++ b/src/test/java/io/pearscale/sim/RandomRunsTest.java
@@ -85,6 +85,8 @@
     if (refused) {
       refusedThenOut(r, s);
     }
+    // Drawn last, so that what was drawn before is as it was.
+    meetings(r, s, jobs);
     return s.append("until 330\n").append(expect).toString();
   }
 
@@ -107,6 +109,30 @@
         .append("at %.2f serve refused\n".formatted(at + 5 + r.nextDouble() * 60));
   }
 
+  /**
+   * Troubles that were added later: repeats, cancels at the end, late commands, slow processors.
+   */
+  private static void meetings(RandomGenerator r, StringBuilder s, int jobs) {
+    for (int i = 0; i < 3; i++) {
+      s.append("at %.2f resubmit wk-%d\n".formatted(75 + r.nextDouble() * 40, r.nextInt(jobs)));
+    }
+    if (r.nextInt(3) == 0) {
+      s.append("at %.2f submit wk-end batch tasks=3 run=5\n".formatted(20 + r.nextDouble() * 40))
+          .append("at 70 cancel-at-end wk-end\nat 1 cancel-at-end wk-end\n");
+    }
+    if (r.nextInt(3) == 0) {
+      s.append(
+          "at %.2f late-commands %d %.2f\n"
+              .formatted(5 + r.nextDouble() * 70, 1 + r.nextInt(12), 2 + r.nextDouble() * 14));
+    }
+    if (r.nextInt(4) == 0) {
+      double at = r.nextDouble() * 60;
+      String who = r.nextBoolean() ? "all" : "hive-" + r.nextInt(3);
+      s.append("at %.2f slow %s %.4f\n".formatted(at, who, 0.001 + r.nextDouble() * 0.006))
+          .append("at %.2f slow %s 0\n".formatted(at + 10 + r.nextDouble() * 60, who));
+    }
+  }
+
   private static void trouble(RandomGenerator r, StringBuilder s, int i) {
     double at = 6 + r.nextDouble() * 70;
     double end = at + 1 + r.nextDouble() * 40;
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -111,7 +111,8 @@
         Instant when = world.now.plus(seconds(w.get(1)));
         world.at(when, () -> act(rest));
         boolean trouble =
-            !List.of("submit", "resubmit", "cancel", "call", "check").contains(rest.get(0));
+            !List.of("submit", "resubmit", "cancel", "cancel-at-end", "call", "check")
+                .contains(rest.get(0));
         if (trouble && when.isAfter(world.troublesOver)) {
           world.troublesOver = when;
         }
@@ -264,6 +265,12 @@
       case "storm" -> storm(Integer.parseInt(w.get(1)), seconds(w.get(2)));
       case "slow-state" -> world.state.slowBy = seconds(w.get(1));
       case "slow-links" -> world.slowBy = seconds(w.get(1));
+      case "slow" -> nodes(w.get(1)).forEach(n -> n.cost = seconds(w.get(2)));
+      case "cancel-at-end" -> world.cancelledAtEnd.add(w.get(1));
+      case "late-commands" -> {
+        world.lateCommands = Integer.parseInt(w.get(1));
+        world.lateCommandsBy = seconds(w.get(2));
+      }
       case "late-commits" -> {
         world.state.lateCommits = Integer.parseInt(w.get(1));
         world.state.lateBy = seconds(w.get(2));
--- a/src/test/java/io/pearscale/sim/SimNode.java
+++ b/src/test/java/io/pearscale/sim/SimNode.java
@@ -35,6 +35,11 @@
   private final List<Runnable> dueTimers = new ArrayList<>();
   private final List<Runnable> unread = new ArrayList<>();
 
+  /** What each message, answer and timer takes of the process's time, and until when it is busy. */
+  Duration cost = Duration.ZERO;
+
+  private Instant busyUntil = Instant.MIN;
+
   /** How fast the steady clock runs. */
   double drift = 1.0;
 
@@ -182,15 +187,37 @@
   private void unlessFrozen(List<Runnable> queue, Runnable task) {
     if (frozen()) {
       queue.add(task);
-    } else {
+    } else if (cost.isZero() && !world.now.isBefore(busyUntil)) {
       task.run();
+    } else {
+      inTurn(queue, task);
     }
   }
 
+  /** On a slow processor whatever comes in waits for what came before. */
+  private void inTurn(List<Runnable> queue, Runnable task) {
+    Instant turn = world.now.isBefore(busyUntil) ? busyUntil : world.now;
+    busyUntil = turn.plus(cost);
+    int mine = life;
+    world.at(
+        turn,
+        () -> {
+          if (mine == life && frozen()) {
+            queue.add(task);
+          } else if (mine == life) {
+            task.run();
+          }
+        });
+  }
+
   private void sending(Runnable message) {
     freezesAtNextSend.ifPresent(this::freezeNow);
     freezesAtNextSend = Optional.empty();
-    unlessFrozen(unsent, message);
+    if (frozen()) {
+      unsent.add(message);
+    } else {
+      message.run();
+    }
   }
 
   /** As a real process does: all timers that are due run before anything is read. */
@@ -204,6 +231,7 @@
 
   private void forget() {
     heard.clear();
+    busyUntil = Instant.MIN;
     frozenUntil = Instant.MIN;
     freezesAtNextSend = Optional.empty();
     unsent.clear();
--- a/src/test/java/io/pearscale/sim/SimWorker.java
+++ b/src/test/java/io/pearscale/sim/SimWorker.java
@@ -376,6 +376,11 @@
         completed(world).add(key.task);
       }
       end(key, t, cause);
+      String job = key.task.job();
+      if (world.cancelledAtEnd.contains(job) && allDone(world, world.submitted.get(job))) {
+        world.cancelledAtEnd.remove(job);
+        world.users.get(job).cancel();
+      }
     }
   }
 
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -104,6 +104,14 @@
 
   Duration copiesBy = Duration.ZERO;
 
+  /** The next so many commands straight to workers are held up, and their answers are lost. */
+  int lateCommands;
+
+  Duration lateCommandsBy = Duration.ZERO;
+
+  /** Jobs whose users cancel them at the very moment at which the last task ends. */
+  final Set<String> cancelledAtEnd = new HashSet<>();
+
   private final Set<String> cuts = new HashSet<>();
   private final Set<String> holds = new HashSet<>();
   private final Map<String, List<Runnable>> held = new HashMap<>();
@@ -231,6 +239,11 @@
       String later = randomHealthyNode().map(n -> n.name).orElse(to);
       after(copiesBy, () -> serve(from, later, method, path, copy, r -> {}));
     }
+    if (path.equals("/do") && lateCommands > 0) {
+      lateCommands--;
+      after(lateCommandsBy, () -> serve(from, to, method, path, copy, r -> {}));
+      return;
+    }
     carry(
         from,
         to,
