Listen only once the keys are loaded, and wait longer for a slow leader's answers

And a leader that answers after 1.5 s was in vain for every relayed report, though workers wait for 4 s: relays now wait for as long as the processor is slow, 3.2 s at most.

--- a/src/main/java/io/pearscale/bookkeeping/Controller.java
+++ b/src/main/java/io/pearscale/bookkeeping/Controller.java
@@ -126,6 +126,7 @@
             loop,
             settings.host(),
             links,
+            settings.relayPatience(),
             (report, answer) -> local(report, settings.host(), answer));
     replica.listen(new ReplicaListener());
   }
@@ -234,6 +235,17 @@
     beat();
   }
 
+  /**
+   * Whether it is time to listen. Before the keys are loaded nothing can be answered, and on a
+   * small part of a core the workers that come as soon as there is somebody to ask would take the
+   * time that loading needs: they are refused without a word and ask elsewhere. A state service
+   * that is out is not waited for, since users are to be told when to come back.
+   */
+  public boolean ready() {
+    Duration running = Duration.between(started, loop.clock().instant());
+    return loaded || running.compareTo(settings.grantTime()) > 0;
+  }
+
   /** While a peer can't be reached, the leader shows by writes that it lives. */
   private void beat() {
     if (links.connected().size() < settings.peers().size()) {
--- a/src/main/java/io/pearscale/cli/Main.java
+++ b/src/main/java/io/pearscale/cli/Main.java
@@ -42,7 +42,7 @@
   /** Starts a controller, which goes on after this returns 0. */
   static int serve(Path config, Optional<Path> tuning) {
     try {
-      new Server(SettingsReader.read(config), TuningReader.read(tuning)).start();
+      new Server(SettingsReader.read(config), TuningReader.read(tuning));
       return 0;
     } catch (SettingsError e) {
       System.err.println("pearscale: " + e.getMessage());
--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -12,8 +12,11 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,6 +32,9 @@
 
   private static final int RENEWAL_CONNECTIONS = 4;
 
+  private static final Duration LISTEN_RETRY = Duration.ofMillis(20);
+
+  private final CountDownLatch listening = new CountDownLatch(1);
   private final XnioWorker worker;
   private final XnioWorker renewalWorker;
   private final HttpServer http;
@@ -90,9 +96,9 @@
           try {
             links.start(settings.peerListen());
             controller.start();
+            listen(loop, settings.clientListen());
           } catch (IOException e) {
-            System.err.println("pearscale: " + settings.peerListen() + ": " + e.getMessage());
-            System.exit(Main.EXIT_FAILURE);
+            fail(settings.peerListen(), e);
           }
         });
   }
@@ -113,8 +119,27 @@
     loop.after(SOCKETS_LOGGED, () -> logSockets(loop, calls));
   }
 
-  void start() {
-    http.start();
+  private void listen(XnioLoop loop, InetSocketAddress address) {
+    if (!controller.ready()) {
+      loop.after(LISTEN_RETRY, () -> listen(loop, address));
+      return;
+    }
+    try {
+      http.start();
+      listening.countDown();
+    } catch (RuntimeException e) {
+      fail(address, e);
+    }
+  }
+
+  private static void fail(InetSocketAddress address, Exception cause) {
+    System.err.println("pearscale: " + address + ": " + cause.getMessage());
+    System.exit(Main.EXIT_FAILURE);
+  }
+
+  /** Waits until users and workers are served. */
+  boolean awaitListening(Duration limit) throws InterruptedException {
+    return listening.await(limit.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   void stop() {
--- a/src/main/java/io/pearscale/cli/WarmUp.java
+++ b/src/main/java/io/pearscale/cli/WarmUp.java
@@ -74,6 +74,7 @@
   private static final Duration ROUND = Duration.ofMillis(700);
 
   private static final int ROUNDS = 4;
+  private static final Duration START = Duration.ofSeconds(10);
 
   private final WarmUpServices services = new WarmUpServices();
 
@@ -143,7 +144,7 @@
     try {
       Files.writeString(file, SETTINGS.formatted(host, client, back, peer, peerBack, stub, stub));
       Server server = new Server(SettingsReader.read(file), TuningReader.read(Optional.empty()));
-      server.start();
+      server.awaitListening(START);
       return server;
     } finally {
       Files.deleteIfExists(file);
--- a/src/main/java/io/pearscale/coordination/RelayActor.java
+++ b/src/main/java/io/pearscale/coordination/RelayActor.java
@@ -25,8 +25,9 @@
  * report, so the leader alone knows until when a machine may be alive.
  */
 public final class RelayActor extends Actor<RelayActor.Message> {
-  // Workers drop answers after 4 s; a late one would only hold the worker here.
-  private static final Duration PATIENCE = Duration.ofMillis(1500);
+  /** For how long a report waits for an election: longer than most take. */
+  private static final Duration ELECTION = Duration.ofMillis(1500);
+
   private static final Duration SWEEP = Duration.ofMillis(250);
   private static final int MOST_PARKED = 2000;
 
@@ -52,6 +53,7 @@
 
   private final String self;
   private final Links links;
+  private final Duration patience;
   private final BiConsumer<Report, Consumer<ReportAnswer>> local;
 
   /** Open exchanges, the oldest first, which is also the first to be overdue. */
@@ -65,12 +67,21 @@
   private long leaderTerm;
   private long exchanges;
 
-  /** Relays to the leader, which may be {@code local}. */
+  /**
+   * Relays to the leader, which may be {@code local}.
+   *
+   * @param patience for how long a report waits for the leader's answer
+   */
   public RelayActor(
-      Loop loop, String self, Links links, BiConsumer<Report, Consumer<ReportAnswer>> local) {
+      Loop loop,
+      String self,
+      Links links,
+      Duration patience,
+      BiConsumer<Report, Consumer<ReportAnswer>> local) {
     super(loop);
     this.self = self;
     this.links = links;
+    this.patience = patience;
     this.local = local;
   }
 
@@ -100,7 +111,7 @@
       long exchange = ++exchanges;
       byte[] frame = PeerMessage.encode(new ForwardedReport(exchange, m.report));
       if (links.connected().contains(leader.get()) && links.send(leader.get(), frame)) {
-        open.put(exchange, new Exchange(loop.clock().instant().plus(PATIENCE), m.answer));
+        open.put(exchange, new Exchange(loop.clock().instant().plus(patience), m.answer));
         planSweep();
       } else {
         m.answer.accept(ReportAnswer.UNAVAILABLE, leader);
@@ -118,7 +129,7 @@
       m.answer.accept(ReportAnswer.UNAVAILABLE, Optional.empty());
       return;
     }
-    parked.add(new Parked(loop.clock().instant().plus(PATIENCE), m));
+    parked.add(new Parked(loop.clock().instant().plus(ELECTION), m));
     planSweep();
   }
 
--- a/src/main/java/io/pearscale/protocol/Settings.java
+++ b/src/main/java/io/pearscale/protocol/Settings.java
@@ -26,6 +26,7 @@
   private static final Duration SHORTEST_GRANT = Duration.ofMillis(2200);
 
   private static final Duration LONGEST_GRANT = Duration.ofSeconds(6);
+  private static final Duration LONGEST_RELAY = Duration.ofMillis(3200);
   private static final double HALF_CORE = 0.5;
 
   /** A team's guarantee and limit; an amount of 0 means that there is none. */
@@ -78,4 +79,14 @@
     }
     return time.compareTo(LONGEST_GRANT) > 0 ? LONGEST_GRANT : time;
   }
+
+  /**
+   * For how long a relay waits for the leader's answer to a report. Workers drop answers after 4 s,
+   * so a leader that is slow for a while is waited for almost as long; with a quick one, the sooner
+   * a worker learns that there is no answer, the sooner it asks elsewhere.
+   */
+  public Duration relayPatience() {
+    Duration patience = grantTime().multipliedBy(2).dividedBy(3);
+    return patience.compareTo(LONGEST_RELAY) > 0 ? LONGEST_RELAY : patience;
+  }
 }
--- a/src/test/java/io/pearscale/cli/LoopbackTest.java
+++ b/src/test/java/io/pearscale/cli/LoopbackTest.java
@@ -49,7 +49,7 @@
     Path file = folder.resolve("s.toml");
     Files.writeString(file, SettingsTest.settings(client, back, freePort(), freePort()));
     server = new Server(SettingsReader.read(file), Tuning.defaults());
-    server.start();
+    assertTrue(server.awaitListening(Duration.ofSeconds(10)), "does not listen");
   }
 
   @AfterAll
--- a/src/test/java/io/pearscale/coordination/RelayActorTest.java
+++ b/src/test/java/io/pearscale/coordination/RelayActorTest.java
@@ -48,6 +48,7 @@
               return Set.of("hive-1");
             }
           },
+          Duration.ofMillis(1500),
           (report, answer) -> {});
 
   RelayActorTest() {
