Bound the rest after a pass and after planning what to rent

Found by reading: both rest for a multiple of the time that they took, and a process that stands still for 35 s within one would have placed nothing for two minutes, or rented nothing for twelve. Passes rest for 2 s at most, renting for 10 s.

--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -70,11 +70,9 @@
   private static final Duration DO_TIMEOUT = Duration.ofMillis(1500);
   private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1000);
   private static final Duration TICK = Duration.ofMillis(250);
-  private static final Duration PASS_SPACING = Duration.ofMillis(30);
-  private static final Duration RENT_SPACING = Duration.ofSeconds(1);
-
-  /** Planning what to rent may take one part in so many of the leader's time. */
-  private static final int RENT_REST = 20;
+  private static final Pacing PASSES = new Pacing(4, Duration.ofMillis(30), Duration.ofSeconds(2));
+  private static final Pacing RENTING =
+      new Pacing(20, Duration.ofSeconds(1), Duration.ofSeconds(10));
 
   private static final Duration COMMIT_SPACING = Duration.ofMillis(40);
 
@@ -1118,9 +1116,7 @@
     if (!passPlanned && leading && !queue.isEmpty()) {
       passPlanned = true;
       long t = term;
-      // However much there is to decide, most of the time must be left to those who report.
-      Duration rest = lastPass.multipliedBy(4);
-      loop.after(rest.compareTo(PASS_SPACING) > 0 ? rest : PASS_SPACING, () -> tell(new Pass(t)));
+      loop.after(PASSES.restAfter(lastPass), () -> tell(new Pass(t)));
     }
   }
 
@@ -1800,7 +1796,7 @@
     dispatchAll();
     if (now.isAfter(nextRent)) {
       rent(now);
-      nextRent = now.plus(restAfter(Duration.between(now, now())));
+      nextRent = now.plus(RENTING.restAfter(Duration.between(now, now())));
     }
     if (now.isAfter(nextCounts)) {
       nextCounts = now.plusSeconds(1);
@@ -1818,12 +1814,6 @@
     }
   }
 
-  /** How long to leave renting alone: on a slow processor most time goes to those who report. */
-  private static Duration restAfter(Duration planning) {
-    Duration rest = planning.multipliedBy(RENT_REST);
-    return rest.compareTo(RENT_SPACING) > 0 ? rest : RENT_SPACING;
-  }
-
   /** What an operator wants to see at a glance, once a minute. */
   private void figures(Instant now) {
     int usable = 0;
