--- /dev/null
+++ b/src/main/java/io/pearscale/cli/Commands.java
@@ -0,0 +1,94 @@
+package io.pearscale.cli;
+
+import io.pearscale.bookkeeping.Tuning;
+import io.pearscale.protocol.Settings;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.IVersionProvider;
+import picocli.CommandLine.Option;
+
+/** The command line. Each subcommand is one tool; the daemon is {@code serve}. */
+@Command(
+    name = "pearscale",
+    description = "A cluster scheduler.",
+    mixinStandardHelpOptions = true,
+    versionProvider = Commands.Version.class,
+    synopsisSubcommandLabel = "COMMAND",
+    subcommands = {Commands.Serve.class, Commands.Check.class, WarmUp.class})
+final class Commands {
+  private Commands() {}
+
+  /** Runs what the arguments name, and returns the exit code. */
+  static int execute(String[] args) {
+    return new CommandLine(new Commands()).execute(args);
+  }
+
+  /** Options that all commands with settings share. */
+  static final class Files {
+    @Option(
+        names = "--config",
+        required = true,
+        paramLabel = "FILE",
+        description = "the platform's settings (TOML)")
+    Path config;
+
+    @Option(
+        names = "--tuning",
+        paramLabel = "FILE",
+        description = "operators' own settings (S-expressions)")
+    Path tuning;
+
+    Settings settings() throws SettingsError {
+      return SettingsReader.read(config);
+    }
+
+    Tuning tuning() throws SettingsError {
+      return TuningReader.read(Optional.ofNullable(tuning));
+    }
+  }
+
+  @Command(
+      name = "serve",
+      description = "Runs a controller until it is killed.",
+      mixinStandardHelpOptions = true)
+  static final class Serve implements Callable<Integer> {
+    @CommandLine.Mixin Files files;
+
+    @Override
+    public Integer call() {
+      return Main.serve(files.config, Optional.ofNullable(files.tuning));
+    }
+  }
+
+  @Command(
+      name = "check",
+      description = "Checks the settings without serving.",
+      mixinStandardHelpOptions = true)
+  static final class Check implements Callable<Integer> {
+    @CommandLine.Mixin Files files;
+
+    @Override
+    public Integer call() {
+      try {
+        Settings s = files.settings();
+        files.tuning();
+        System.out.println("settings of " + s.host() + " are good");
+        return 0;
+      } catch (SettingsError e) {
+        System.err.println("pearscale: " + e.getMessage());
+        return Main.EXIT_SETTINGS;
+      }
+    }
+  }
+
+  static final class Version implements IVersionProvider {
+    @Override
+    public String[] getVersion() {
+      String v = Main.class.getPackage().getImplementationVersion();
+      return new String[] {"pearscale " + (v == null ? "(not packaged)" : v)};
+    }
+  }
+}
--- a/src/main/java/io/pearscale/cli/WarmUp.java
+++ b/src/main/java/io/pearscale/cli/WarmUp.java
@@ -2,13 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.pearscale.bookkeeping.Tuning;
 import io.pearscale.transport.HttpCalls;
 import io.pearscale.transport.HttpServer;
-import io.pearscale.transport.HttpServer.Response;
 import io.pearscale.transport.MessagePack;
 import io.pearscale.transport.XnioLoop;
 import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -19,7 +18,6 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -35,12 +33,12 @@
 final class WarmUp implements Callable<Integer> {
   private static final String SETTINGS =
       """
-      host_name = "warm-0"
+      host_name = "%s"
       domain = "a"
       client_listen = "127.0.0.1:%d"
       back = "127.0.0.1:%d"
       [[peers]]
-      host_name = "warm-1"
+      host_name = "%s"
       domain = "a"
       address = "127.0.0.1:%d"
       [endpoints]
@@ -72,19 +70,16 @@
       fd_limit = 1000
       """;
 
-  private long epoch = 1;
+  /** Long enough for an election, a pass, its writes and the commands that follow. */
+  private static final Duration ROUND = Duration.ofMillis(700);
+
+  private static final int ROUNDS = 4;
+
+  private final WarmUpServices services = new WarmUpServices();
 
   @Override
   public Integer call() throws Exception {
-    int[] ports = new int[5];
-    ServerSocket[] held = new ServerSocket[ports.length];
-    for (int i = 0; i < ports.length; i++) {
-      held[i] = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      ports[i] = held[i].getLocalPort();
-    }
-    for (ServerSocket s : held) {
-      s.close();
-    }
+    int[] ports = freePorts();
     XnioWorker worker =
         Xnio.getInstance()
             .createWorker(
@@ -101,30 +96,57 @@
             buffers,
             100,
             path -> false,
-            this::stub);
+            services::handle);
     stub.start();
+    Server first = serve("warm-0", ports[0], ports[2], "warm-1", ports[3], ports[4]);
+    Server second = serve("warm-1", ports[1], ports[3], "warm-0", ports[2], ports[4]);
+    XnioLoop loop = new XnioLoop(worker.getIoThread());
+    HttpCalls calls = new HttpCalls(loop, worker.getIoThread(), buffers, 20);
+    String stubAddress = "127.0.0.1:" + ports[4];
+    for (int round = 0; round < ROUNDS; round++) {
+      // One of the two leads, the other relays.
+      for (int port : new int[] {ports[0], ports[1]}) {
+        String self = "127.0.0.1:" + port;
+        ask(loop, calls, self, "GET", "/up", MessagePack.MISSING);
+        ask(loop, calls, self, "POST", "/work", job());
+        ask(loop, calls, self, "GET", "/work/wk-000001", MessagePack.MISSING);
+        ask(loop, calls, self, "POST", "/checkin", services.report(stubAddress));
+        ask(loop, calls, self, "POST", "/checkin", MessagePack.map());
+      }
+      Thread.sleep(ROUND.toMillis());
+    }
+    ask(loop, calls, "127.0.0.1:" + ports[0], "POST", "/work/wk-000001/cancel", MessagePack.map());
+    Thread.sleep(ROUND.toMillis());
+    first.stop();
+    second.stop();
+    stub.stop();
+    worker.shutdownNow();
+    return 0;
+  }
+
+  private static int[] freePorts() throws IOException {
+    int[] ports = new int[5];
+    ServerSocket[] held = new ServerSocket[ports.length];
+    for (int i = 0; i < ports.length; i++) {
+      held[i] = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+      ports[i] = held[i].getLocalPort();
+    }
+    for (ServerSocket s : held) {
+      s.close();
+    }
+    return ports;
+  }
+
+  private static Server serve(
+      String host, int client, int back, String peer, int peerBack, int stub) throws Exception {
     Path file = Files.createTempFile("pearscale", ".toml");
     try {
-      Files.writeString(file, SETTINGS.formatted(ports[0], ports[1], ports[2], ports[4], ports[4]));
-      Server server = new Server(SettingsReader.read(file), Tuning.defaults());
+      Files.writeString(file, SETTINGS.formatted(host, client, back, peer, peerBack, stub, stub));
+      Server server = new Server(SettingsReader.read(file), TuningReader.read(Optional.empty()));
       server.start();
-      Thread.sleep(1500);
-      XnioLoop loop = new XnioLoop(worker.getIoThread());
-      HttpCalls calls = new HttpCalls(loop, worker.getIoThread(), buffers, 20);
-      String self = "127.0.0.1:" + ports[0];
-      ask(loop, calls, self, "GET", "/up", MessagePack.MISSING);
-      ask(loop, calls, self, "POST", "/work", job());
-      ask(loop, calls, self, "GET", "/work/wk-000001", MessagePack.MISSING);
-      ask(loop, calls, self, "POST", "/checkin", report(self));
-      ask(loop, calls, self, "POST", "/checkin", MessagePack.map());
-      Thread.sleep(1200);
-      ask(loop, calls, self, "POST", "/work/wk-000001/cancel", MessagePack.MISSING);
-      server.stop();
-      return 0;
+      return server;
     } finally {
       Files.deleteIfExists(file);
-      stub.stop();
-      worker.shutdownNow();
     }
   }
 
@@ -180,33 +202,4 @@
         .put("stage", "running");
     return n;
   }
-
-  private void stub(
-      String method, String path, Optional<JsonNode> body, Consumer<Response> respond) {
-    ObjectNode n = MessagePack.map();
-    n.put("epoch", path.equals("/commit") ? ++epoch : epoch).put("claim", 1).put("more", false);
-    if (path.equals("/watch")) {
-      var events = n.putArray("events");
-      if (epoch > 1) {
-        ObjectNode e = events.addObject().put("write", "c/live/wk-000001").put("stamp", epoch);
-        e.putObject("value").put("at", 0).set("spec", job());
-      }
-    }
-    n.putArray("pairs");
-    n.putArray("hives");
-    n.putArray("breeds")
-        .addObject()
-        .put("sku", "g")
-        .put("vcpus", 8.0)
-        .put("accelerators", 0.0)
-        .put("memoryGb", 8.0)
-        .put("cacheGb", 8.0)
-        .put("fetchGbPerS", 1.0)
-        .put("rate", 1.0)
-        .put("marketPrice", 0.5)
-        .put("readyS", 20.0)
-        .putArray("yards")
-        .add("a");
-    respond.accept(Response.of(200, n));
-  }
 }
--- /dev/null
+++ b/src/test/java/io/pearscale/cli/StartTest.java
@@ -0,0 +1,65 @@
+package io.pearscale.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * What the daemon's own start loads. On a small part of a core each class that is not in the
+ * archive shows, and those of the command line's library can't be in it.
+ */
+class StartTest {
+  @TempDir Path folder;
+
+  private static int freePort() throws Exception {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
+    }
+  }
+
+  @Test
+  void theDaemonStartsWithoutTheCommandLinesLibrary() throws Exception {
+    Path settings = folder.resolve("settings.toml");
+    Files.writeString(
+        settings, SettingsTest.settings(freePort(), freePort(), freePort(), freePort()));
+    Path classes = folder.resolve("classes.txt");
+    Process process =
+        new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1",
+                "-Xlog:class+load:file=" + classes,
+                "-cp",
+                System.getProperty("java.class.path"),
+                "io.pearscale.cli.Main",
+                "serve",
+                "--config",
+                settings.toString())
+            .redirectErrorStream(true)
+            .redirectOutput(folder.resolve("log.txt").toFile())
+            .start();
+    try {
+      List<String> loaded = List.of();
+      for (int i = 0; i < 100 && !names(loaded, "io.pearscale.transport.PeerLinks"); i++) {
+        assertTrue(process.isAlive(), "ended");
+        TimeUnit.MILLISECONDS.sleep(100);
+        loaded = Files.exists(classes) ? Files.readAllLines(classes) : loaded;
+      }
+      assertTrue(names(loaded, "io.pearscale.transport.PeerLinks"), "did not start");
+      assertEquals(0, loaded.stream().filter(line -> line.contains(" picocli.")).count());
+    } finally {
+      process.destroyForcibly().waitFor();
+    }
+  }
+
+  private static boolean names(List<String> lines, String name) {
+    return lines.stream().anyMatch(line -> line.contains(" " + name + " "));
+  }
+}
