Carry the stop of a cancelled task in every answer that renews its lease

Cause: a stop counted as sent once a command with it had been handed out, and was repeated only after 2 s and the time that the job takes to save, even where the task must not save. Any command could use the repeat up. A start that waits on the machine for the room of the cancelled task makes the leader try a direct command every 250 ms, so it is always a direct command that takes the repeat. Where those don't get through (a leader that has lost the workers alone, commands that are held up, whose token is raised meanwhile), reports and answers still pass through the peers: each answer left the stop out and renewed the lease. Besides, the first answer of a new leader to a machine carried no stops at all.

Change: `StopCommands` decides about stops. A stop is owed until a message of the machine shows that the task has ended; each answer to a report carries all that are owed, and one to a machine that has not shown the term's token those of what its report names and is over. Only a victim that is seen to save is left in peace for its time. The decision moved out of SchedulerActor.

The checker is tested with a worker that ignores a stop. The stand-in workers now save when they are given the time, keep what was saved, and can hang within their lease.

--- a/src/main/java/io/pearscale/bookkeeping/Machine.java
+++ b/src/main/java/io/pearscale/bookkeeping/Machine.java
@@ -1,7 +1,6 @@
 package io.pearscale.bookkeeping;
 
 import io.pearscale.protocol.MachineType;
-import io.pearscale.protocol.Order;
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.TaskId;
 import java.time.Instant;
@@ -303,11 +302,4 @@
       return (int) Math.max(0, n);
     }
   }
-
-  /** The kill command for a placement; a second one no longer waits for saving. */
-  static Order kill(Placement p) {
-    boolean saves = !p.hurried && p.job.spec.checkpoint().toNanos() > 0 && p.kills == 0;
-    return Order.kill(
-        p.task, p.attempt, saves ? p.job.spec.save().plusSeconds(2) : java.time.Duration.ZERO);
-  }
 }
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -89,7 +89,6 @@
   /** What a change takes of a transaction's size beside its value. */
   private static final int KEY_SIZE = 100;
 
-  private static final Duration REPEAT = Duration.ofSeconds(2);
   private static final Duration DIRECT_PAUSE = Duration.ofSeconds(3);
   private static final int LEASES_OF_A_CUT = 10;
 
@@ -709,12 +708,21 @@
     m.answersSince = Optional.empty();
     m.renewed = now();
     m.via = via;
-    List<Order> orders = m.settled && r.token() <= m.token ? orders(m, true) : List.of();
+    List<Order> orders = ordersInAnswer(m, r);
     kick(m);
     m.answered = m.token;
     return new ReportAnswer(200, m.token, orders);
   }
 
+  /** What goes with the answer to a report, which renews the lease of all that the machine runs. */
+  private List<Order> ordersInAnswer(Machine m, Report r) {
+    if (r.token() > m.token) {
+      // The machine drops the answer, so that nothing is renewed.
+      return List.of();
+    }
+    return m.settled ? orders(m, true) : StopCommands.forUnsettled(r, jobs::containsKey);
+  }
+
   /**
    * Whether the machine has got the last answer, as far as its report can tell. One whose reports
    * come while answers and commands don't reach it has a voice, but its lease runs out all the
@@ -1305,23 +1313,11 @@
 
   /** All that the worker has to be told now. */
   private List<Order> orders(Machine m, boolean inAnswer) {
-    Instant now = now();
-    List<Order> orders = new ArrayList<>();
-    m.foreign.forEach(
-        (key, sent) -> {
-          orders.add(Order.kill(key.task(), key.attempt(), Duration.ZERO));
-          m.foreign.put(key, now);
-        });
+    List<Order> orders = StopCommands.due(m, inAnswer, now());
     for (Placement p : m.placements.values()) {
-      if (p.doomed && p.attempt >= 0) {
-        Duration wait = p.kills == 0 ? Duration.ZERO : REPEAT.plus(p.job.spec.save());
-        if (Duration.between(p.killSent, now).compareTo(wait) >= 0 || p.kills == 0) {
-          orders.add(Machine.kill(p));
-          p.killSent = now;
-          p.kills++;
-        }
-      } else if (inAnswer && p.stage == Stage.SENT && !p.confirmed && !m.calling && mayStart()) {
-        // The direct command seems lost. The same attempt can't run twice, whatever comes late.
+      boolean startSeemsLost = p.stage == Stage.SENT && !p.confirmed && !p.doomed && !m.calling;
+      if (inAnswer && startSeemsLost && mayStart()) {
+        // The same attempt can't run twice, whatever comes late.
         p.token = m.token;
         p.session = m.session;
         orders.add(Order.run(p.task, p.attempt));
@@ -1354,13 +1350,10 @@
   // ---- Direct commands ----
 
   private boolean wantsCall(Machine m) {
-    if (!m.foreign.isEmpty() && m.foreign.containsValue(Instant.MIN)) {
+    if (StopCommands.unsent(m)) {
       return true;
     }
     for (Placement p : m.placements.values()) {
-      if (p.doomed && p.kills == 0) {
-        return true;
-      }
       if (p.stage == Stage.PLANNED && p.marked && m.recorded) {
         return true;
       }
--- /dev/null
+++ b/src/main/java/io/pearscale/bookkeeping/StopCommands.java
@@ -0,0 +1,103 @@
+package io.pearscale.bookkeeping;
+
+import io.pearscale.bookkeeping.Placement.Stage;
+import io.pearscale.protocol.Order;
+import io.pearscale.protocol.Report;
+import io.pearscale.protocol.Report.TaskReport;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+
+/**
+ * Decides which tasks a machine is told to stop. A stop is owed until a message of the machine
+ * shows that the task has ended: that it was sent once proves nothing, since a command may get lost
+ * and an answer may come too late to be accepted.
+ *
+ * <p>The invariant that bounds how long a cancelled task can go on: every answer that renews a
+ * machine's lease carries the stop of every cancelled task that the machine may hold. So whatever
+ * the machine accepts either stops the task or does not renew its lease.
+ */
+final class StopCommands {
+  /** For how long a stop that is repeated outside of answers to reports waits for its effect. */
+  private static final Duration REPEAT = Duration.ofSeconds(2);
+
+  /** What the saving of a stopped task may take beyond the time that its job names. */
+  private static final Duration SAVING_MARGIN = Duration.ofSeconds(2);
+
+  private StopCommands() {}
+
+  /**
+   * The stops that a machine is to be sent now; they count as sent from here on.
+   *
+   * @param inAnswer whether they go with an answer that renews the machine's lease
+   */
+  static List<Order> due(Machine machine, boolean inAnswer, Instant now) {
+    List<Order> stops = new ArrayList<>();
+    machine.foreign.replaceAll((attempt, sent) -> now);
+    machine
+        .foreign
+        .keySet()
+        .forEach(e -> stops.add(Order.kill(e.task(), e.attempt(), Duration.ZERO)));
+    for (Placement placement : machine.placements.values()) {
+      if (isDue(placement, inAnswer, now)) {
+        stops.add(stop(placement));
+        placement.killSent = now;
+        placement.kills++;
+      }
+    }
+    return stops;
+  }
+
+  /**
+   * The stops that go with the answer to a machine which has not shown a token of this term. The
+   * inventory says nothing of it yet, but its report names what runs there, and the answer renews
+   * the lease of all of that.
+   *
+   * @param isLive whether a job is not over
+   */
+  static List<Order> forUnsettled(Report report, Predicate<String> isLive) {
+    List<Order> stops = new ArrayList<>();
+    for (TaskReport task : report.tasks()) {
+      if (task.stage() != Report.Stage.ENDED && !isLive.test(task.task().job())) {
+        stops.add(Order.kill(task.task(), task.attempt(), Duration.ZERO));
+      }
+    }
+    return stops;
+  }
+
+  /**
+   * Whether a stop waits that no command has carried yet, so that a direct one is worth its cost.
+   */
+  static boolean unsent(Machine machine) {
+    return machine.foreign.containsValue(Instant.MIN)
+        || machine.placements.values().stream().anyMatch(p -> p.doomed && p.kills == 0);
+  }
+
+  private static boolean isDue(Placement placement, boolean inAnswer, Instant now) {
+    if (!placement.doomed || placement.attempt < 0) {
+      return false;
+    }
+    if (placement.kills == 0 || (inAnswer && !isSaving(placement))) {
+      return true;
+    }
+    Duration patience = isSaving(placement) ? REPEAT.plus(placement.job.spec.save()) : REPEAT;
+    return Duration.between(placement.killSent, now).compareTo(patience) >= 0;
+  }
+
+  /** Whether the task does what its stop asked of it, so that another one would only cut it off. */
+  private static boolean isSaving(Placement placement) {
+    return placement.stage == Stage.SAVING && !placement.hurried;
+  }
+
+  /** The command itself. A task that was given its time to save is told to end at once. */
+  private static Order stop(Placement placement) {
+    boolean mayStillSave =
+        !placement.hurried
+            && !placement.job.spec.checkpoint().isZero()
+            && (placement.kills == 0 || placement.stage != Stage.SAVING);
+    Duration grace = mayStillSave ? placement.job.spec.save().plus(SAVING_MARGIN) : Duration.ZERO;
+    return Order.kill(placement.task, placement.attempt, grace);
+  }
+}
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -246,12 +246,7 @@
           world.nodes.values().forEach(SimNode::linksRefused);
         }
       }
-      case "reboot" -> {
-        SimWorker worker = world.workers.get(name(w.get(1)));
-        if (worker != null) {
-          worker.reboot();
-        }
-      }
+      case "reboot" -> worker(w.get(1)).ifPresent(SimWorker::reboot);
       case "mute" -> world.mute.add(name(w.get(1)));
       case "unmute" -> world.mute.remove(name(w.get(1)));
       case "deafen" -> world.deaf.add(name(w.get(1)));
@@ -266,6 +261,9 @@
       case "slow-state" -> world.state.slowBy = seconds(w.get(1));
       case "slow-links" -> world.slowBy = seconds(w.get(1));
       case "slow" -> nodes(w.get(1)).forEach(n -> n.cost = seconds(w.get(2)));
+      case "lose-answers" -> world.lostAnswers = Double.parseDouble(w.get(1));
+      case "lose-commands" -> world.lostCommands = Double.parseDouble(w.get(1));
+      case "ignore-kills" -> world.workers.get(name(w.get(1))).ignoresKills = true;
       case "cancel-at-end" -> world.cancelledAtEnd.add(w.get(1));
       case "late-commands" -> {
         world.lateCommands = Integer.parseInt(w.get(1));
@@ -282,14 +280,20 @@
         world.workers.get(machine).warn(seconds(w.get(2)));
         world.after(seconds(w.get(2)), () -> world.cloud.take(machine));
       }
-      case "hang" -> world.workers.get(name(w.get(1))).hang();
-      case "resume" -> world.workers.get(name(w.get(1))).resume();
+      case "hang" -> worker(w.get(1)).ifPresent(SimWorker::hang);
+      case "hang-within-lease" -> worker(w.get(1)).ifPresent(SimWorker::hangWithinLease);
+      case "resume" -> worker(w.get(1)).ifPresent(SimWorker::resume);
       case "inject" -> world.nodes.get(name(w.get(1))).inject(HexFormat.of().parseHex(w.get(2)));
       case "check" -> expect(w.subList(1, w.size()), String.join(" ", w));
       default -> throw new IllegalArgumentException("scenario: " + w);
     }
   }
 
+  /** The machine of that name; none if it was given back. */
+  private Optional<SimWorker> worker(String name) {
+    return Optional.ofNullable(world.workers.get(name(name)));
+  }
+
   /** So many questions a second about any of the jobs. */
   private void storm(int rate, Duration time) {
     List<SimUser> users = world.users.values().stream().filter(u -> u.accepted).toList();
--- a/src/test/java/io/pearscale/sim/SimWorker.java
+++ b/src/test/java/io/pearscale/sim/SimWorker.java
@@ -26,6 +26,7 @@
     String stage = "fetching";
     String cause = "";
     boolean started;
+    Instant runsSince = Instant.MAX;
   }
 
   private final World world;
@@ -48,6 +49,10 @@
   private Instant lastReport = Instant.MIN;
   private long timer;
   boolean faulty;
+
+  /** A fault of its own, to see that the world's checker finds what goes on after a cancel. */
+  boolean ignoresKills;
+
   Duration notice;
   private Instant noticeEnd;
 
@@ -120,6 +125,18 @@
     hung = true;
   }
 
+  /** Hangs, but goes on when its lease is over, if it did not before. */
+  void hangWithinLease() {
+    hang();
+    world.at(
+        leaseFrom.plus(world.lease).plusMillis(1),
+        () -> {
+          if (hung) {
+            resume();
+          }
+        });
+  }
+
   void resume() {
     hung = false;
     List<Runnable> late = List.copyOf(whileHung);
@@ -310,8 +327,8 @@
         }
       }
       case "kill" -> {
-        if (t != null && !t.stage.equals("ended")) {
-          end(key, t, "stopped");
+        if (t != null && !t.stage.equals("ended") && !ignoresKills) {
+          kill(key, t, o.path("leewayS").asDouble());
         }
       }
       default -> {
@@ -323,6 +340,30 @@
     reportSoon();
   }
 
+  /**
+   * A running task with checkpoints saves if it is given the time; a second kill may cut it off.
+   */
+  private void kill(Key key, Task t, double leeway) {
+    JobSpec spec = world.submitted.get(key.task.job());
+    boolean hasTime = leeway > 0 && leeway >= spec.save().toMillis() / 1000.0;
+    if (t.stage.equals("running") && !spec.checkpoint().isZero() && hasTime) {
+      t.stage = "flushing";
+      Duration ran = Duration.between(t.runsSince, world.now);
+      world.after(
+          spec.save(),
+          () ->
+              alive(
+                  () -> {
+                    if (tasks.get(key) == t && t.stage.equals("flushing")) {
+                      world.savedProgress.merge(key.task, ran, Duration::plus);
+                      end(key, t, "stopped");
+                    }
+                  }));
+    } else if (!t.stage.equals("flushing") || leeway <= 0) {
+      end(key, t, "stopped");
+    }
+  }
+
   private void run(Key key) {
     Task t = new Task();
     tasks.put(key, t);
@@ -358,14 +399,16 @@
                   }
                   t.stage = "running";
                   t.started = true;
+                  t.runsSince = world.now;
                   world.taskStarts(this, key.task, key.attempt);
                   reportSoon();
                   if (faulty || world.users.get(spec.id()).mistake()) {
                     world.after(
                         Duration.ofMillis(300), () -> alive(() -> endIfRunning(key, t, "error")));
                   } else if (!spec.service()) {
-                    Duration run = world.users.get(spec.id()).run(key.task);
-                    world.after(run, () -> alive(() -> endIfRunning(key, t, "done")));
+                    Duration whole = world.users.get(spec.id()).run(key.task);
+                    Duration left = whole.minus(world.progressOf(key.task));
+                    world.after(left, () -> alive(() -> endIfRunning(key, t, "done")));
                   }
                 }));
   }
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -109,6 +109,12 @@
 
   Duration lateCommandsBy = Duration.ZERO;
 
+  /** The share of answers to reports that are lost on their way to the machine. */
+  double lostAnswers;
+
+  /** The share of commands straight to workers that are lost, or else carried out unanswered. */
+  double lostCommands;
+
   /** Jobs whose users cancel them at the very moment at which the last task ends. */
   final Set<String> cancelledAtEnd = new HashSet<>();
 
@@ -244,12 +250,21 @@
       after(lateCommandsBy, () -> serve(from, to, method, path, copy, r -> {}));
       return;
     }
-    carry(
-        from,
-        to,
-        () ->
-            serve(
-                from, to, method, path, copy, reply -> carry(to, from, () -> once.accept(reply))));
+    boolean requestLost = path.equals("/do") && happens(lostCommands / 2);
+    boolean answerLost =
+        path.equals("/do") && happens(lostCommands / 2)
+            || path.equals("/checkin") && happens(lostAnswers);
+    if (requestLost) {
+      return;
+    }
+    Consumer<Reply> back =
+        answerLost ? reply -> {} : reply -> carry(to, from, () -> once.accept(reply));
+    carry(from, to, () -> serve(from, to, method, path, copy, back));
+  }
+
+  /** Draws only where something may happen, so that other days stay as they were. */
+  private boolean happens(double share) {
+    return share > 0 && random.nextDouble() < share;
   }
 
   /** What a host of the world answers to a request. */
@@ -299,6 +314,13 @@
 
   final List<Presence> present = new ArrayList<>();
 
+  /** What tasks that were stopped had run by then and saved. */
+  final Map<TaskId, Duration> savedProgress = new HashMap<>();
+
+  Duration progressOf(TaskId task) {
+    return savedProgress.getOrDefault(task, Duration.ZERO);
+  }
+
   /** How often tasks of a job were started. */
   final Map<String, Integer> starts = new HashMap<>();
 
