Remember a cancel until the copy of the keys is newer than the word of it

Cause: the scheduler forgot cancelled ids past a count of 20,000, the oldest first, and kept those whose removal it had seen before a peer's word came, so that the count went to ids of no use. Nothing tied forgetting to what makes it safe.

Change: `CancelledJobs` keeps each id until a watch that was sent after the word has come back: what was noted was durable, so the copy lacks the job by then, for good.

Tests: CancelledJobsTest (isNotForgottenForTheNumberOfOthers can't hold with a count); scripts cancel-stays-for-an-old-copy and retiring-machine-is-told-to-stop.

--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -95,8 +95,6 @@
   /** A watch that comes back without news was sent 2 s before: a shorter hold asks for no less. */
   private static final Duration WATCH_AGE = Duration.ofSeconds(3);
 
-  private static final int MOST_CANCELLED = 20_000;
-
   /** What the actor understands. */
   public sealed interface Message {}
 
@@ -190,9 +188,7 @@
   // Kept on every controller, fed by the replica.
   private final Map<String, Job> jobs = new LinkedHashMap<>();
 
-  /** Jobs that are over although the copy may still show them as live, see {@link #cancelled}. */
-  private final Set<String> cancelled = new LinkedHashSet<>();
-
+  private final CancelledJobs cancelledJobs = new CancelledJobs();
   private final Map<String, JsonNode> rawMarks = new TreeMap<>();
   private final Map<String, JsonNode> rawRoster = new TreeMap<>();
   private final Map<String, MachineType> types = new LinkedHashMap<>();
@@ -310,6 +306,7 @@
       }
     } else if (message instanceof Fresh m) {
       fresh = m.asOf.isAfter(fresh) ? m.asOf : fresh;
+      cancelledJobs.copyIsAsNewAs(m.asOf);
     } else if (message instanceof Loaded m) {
       loaded(m);
     } else if (message instanceof Won m) {
@@ -377,7 +374,6 @@
         addJob(c.entry().get());
       } else {
         removeJob(Keys.name(key));
-        cancelled.remove(Keys.name(key));
       }
     } else if (Keys.isMarks(key)) {
       c.entry().ifPresentOrElse(e -> rawMarks.put(key, e.value()), () -> rawMarks.remove(key));
@@ -408,7 +404,7 @@
   private void addJob(Entry e) {
     try {
       JobSpec spec = JobSpec.parse(e.value().path("spec"));
-      if (jobs.containsKey(spec.id()) || cancelled.contains(spec.id())) {
+      if (jobs.containsKey(spec.id()) || cancelledJobs.contains(spec.id())) {
         return;
       }
       Duration age =
@@ -447,15 +443,9 @@
     }
   }
 
-  /**
-   * A job is over although our copy does not show it yet. It must not come back with a change that
-   * was long under way, nor with a copy that was read before the end: an end is final.
-   */
+  /** A job is over although our copy may not show it yet. */
   private void cancelled(String id) {
-    cancelled.add(id);
-    if (cancelled.size() > MOST_CANCELLED) {
-      cancelled.remove(cancelled.iterator().next());
-    }
+    cancelledJobs.note(id, now());
     removeJob(id);
   }
 
