Count an address that is none as one that does not answer

Cause: a machine names its own address. One that can't be parsed made the call throw, in the middle of whatever the caller did: a batch of changes with several cancels lost the rest of them, and the news that the copy is fresh was taken in all the same.

Change: an address is parsed once per host; without a host and a port the call is answered as if nobody had answered. Sparing the parse at each connection comes along.

Tests: HttpCallsTest.whatIsNoAddressCountsAsSilent timed out without the mend.

--- a/src/main/java/io/pearscale/transport/HttpCalls.java
+++ b/src/main/java/io/pearscale/transport/HttpCalls.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.net.URI;
+import java.net.URISyntaxException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -20,6 +21,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -68,13 +70,19 @@
   }
 
   private static final class Host {
+    /** Empty for what is no address. */
+    final Optional<URI> target;
+
     final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
     int connecting;
+
+    Host(Optional<URI> target) {
+      this.target = target;
+    }
   }
 
   /** One request, which is answered exactly once, whatever happens to its connection. */
   private final class Pending implements ClientCallback<ClientExchange> {
-    final String address;
     final Host host;
     final ClientRequest request;
     final byte[] body;
@@ -84,8 +92,7 @@
     boolean dialling;
     Timeouts.Timeout timeout;
 
-    Pending(String address, Host host, ClientRequest request, byte[] body, Consumer<Reply> answer) {
-      this.address = address;
+    Pending(Host host, ClientRequest request, byte[] body, Consumer<Reply> answer) {
       this.host = host;
       this.request = request;
       this.body = body;
@@ -222,6 +229,11 @@
       JsonNode body,
       Duration timeout,
       Consumer<Reply> answer) {
+    Host host = hosts.computeIfAbsent(address, a -> new Host(target(a)));
+    if (host.target.isEmpty()) {
+      loop.execute(() -> answer.accept(Reply.NONE));
+      return;
+    }
     byte[] bytes = body.isMissingNode() ? new byte[0] : MessagePack.encode(body);
     ClientRequest request =
         new ClientRequest().setMethod(HttpString.tryFromString(method)).setPath(path);
@@ -232,8 +244,7 @@
     } else if (!"GET".equals(method)) {
       request.getRequestHeaders().put(Headers.CONTENT_LENGTH, "0");
     }
-    Host host = hosts.computeIfAbsent(address, a -> new Host());
-    Pending pending = new Pending(address, host, request, bytes, answer);
+    Pending pending = new Pending(host, request, bytes, answer);
     pending.timeout = timeouts.start(timeout, () -> pending.finish(Reply.NONE, false));
     ClientConnection kept;
     while ((kept = host.idle.poll()) != null) {
@@ -253,6 +264,19 @@
     connect(pending);
   }
 
+  /**
+   * Where an address leads. Machines name their own: one that is no address counts as one that does
+   * not answer, since an exception would end whatever the caller was about to do for others.
+   */
+  private static Optional<URI> target(String address) {
+    try {
+      URI uri = new URI("http://" + address);
+      return uri.getHost() != null && uri.getPort() > 0 ? Optional.of(uri) : Optional.empty();
+    } catch (URISyntaxException e) {
+      return Optional.empty();
+    }
+  }
+
   /** With more hosts than sockets, the connection that was not needed for longest makes room. */
   private void closeIdle() {
     var oldest = idle.keySet().iterator();
@@ -310,7 +334,7 @@
                 }
               }
             },
-            URI.create("http://" + pending.address),
+            host.target.orElseThrow(),
             dialler,
             buffers,
             OptionMap.EMPTY);
--- a/src/test/java/io/pearscale/transport/HttpCallsTest.java
+++ b/src/test/java/io/pearscale/transport/HttpCallsTest.java
@@ -125,6 +125,14 @@
     assertEquals(200, ask(goodHost()).status());
   }
 
+  @Test
+  void whatIsNoAddressCountsAsSilent() throws Exception {
+    for (String address : List.of("", "no address", "host", "host:", "host:x", "[::", "a/b:1")) {
+      assertEquals(0, ask(address).status(), address);
+    }
+    assertEquals(200, ask(goodHost()).status());
+  }
+
   @Test
   void idleConnectionsMakeRoomForOtherHosts() throws Exception {
     for (int i = 0; i < 3 * MOST; i++) {
