Never drop what an actor is told; refuse requests only

Cause: a mailbox that was full dropped any message. A change of the keys, a peer's word of a cancel or the loss of leadership could go with a flood of reports, while the later news that the copy is fresh was taken in: the leader would then have renewed leases of cancelled tasks for good. It takes over 8,000 messages between two turns of a loop, as after a pause of some twenty seconds at 1,500 machines.

Change: requests from outside (reports, users' calls) are offered and refused while 8,192 messages wait; all else is told, in order, and never dropped. Its number follows from calls and timers under way.

Tests: ActorTest (whatIsToldIsNeverDropped failed with a mailbox that drops).

--- a/src/main/java/io/pearscale/bookkeeping/Controller.java
+++ b/src/main/java/io/pearscale/bookkeeping/Controller.java
@@ -136,7 +136,7 @@
   }
 
   private void local(Report report, String via, Consumer<ReportAnswer> answer) {
-    if (!scheduler.tell(new SchedulerActor.Reported(report, via, answer))) {
+    if (!scheduler.offer(new SchedulerActor.Reported(report, via, answer))) {
       answer.accept(ReportAnswer.UNAVAILABLE);
     }
   }
@@ -368,7 +368,7 @@
   }
 
   private void toApi(ApiActor.Message message, Consumer<Response> respond) {
-    if (!api.tell(message)) {
+    if (!api.offer(message)) {
       respond.accept(Response.later(Duration.ofSeconds(2), "busy"));
     }
   }
@@ -383,7 +383,7 @@
       return;
     }
     boolean taken =
-        relay.tell(
+        relay.offer(
             new RelayActor.Incoming(
                 report,
                 (answer, elsewhere) -> {
--- a/src/main/java/io/pearscale/transport/Actor.java
+++ b/src/main/java/io/pearscale/transport/Actor.java
@@ -1,40 +1,54 @@
 package io.pearscale.transport;
 
-import org.agrona.concurrent.ManyToOneConcurrentArrayQueue;
+import org.agrona.concurrent.ManyToOneConcurrentLinkedQueue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Owns its state and is spoken to by messages only. The mailbox is bounded: what comes in while it
- * is full is refused, so that overload shows at the edge as a 503 and never as memory.
+ * Owns its state and is spoken to by messages only.
+ *
+ * <p>Requests from outside are offered and refused while many messages wait, so that overload shows
+ * at the edge as a 503 and never as memory. All else is told and never dropped: an actor that
+ * missed a change of the keys, and took a later one in, would take its knowledge for complete. What
+ * is told needs no bound of its own, since its number follows from calls and timers that are under
+ * way.
  *
  * @param <M> the messages that the actor understands
  */
 public abstract class Actor<M> {
-  private static final int MAILBOX = 8192;
+  /** Requests are refused while so many messages wait. */
+  static final int MOST_WAITING = 8192;
+
   private static final int BATCH = 64;
 
   protected final Logger log = LoggerFactory.getLogger(getClass());
   protected final Loop loop;
-  private final ManyToOneConcurrentArrayQueue<M> mailbox =
-      new ManyToOneConcurrentArrayQueue<>(MAILBOX);
+  private final ManyToOneConcurrentLinkedQueue<M> mailbox = new ManyToOneConcurrentLinkedQueue<>();
+  private int waiting;
   private boolean awake;
 
   protected Actor(Loop loop) {
     this.loop = loop;
   }
 
-  /** Leaves a message; false when the mailbox is full and the message was dropped. */
-  public final boolean tell(M message) {
-    if (!mailbox.offer(message)) {
+  /** Leaves a request; false when too much waits already and it was not taken. */
+  public final boolean offer(M request) {
+    if (waiting >= MOST_WAITING) {
       log.warn("event=mailbox_full actor={}", getClass().getSimpleName());
       return false;
     }
+    tell(request);
+    return true;
+  }
+
+  /** Leaves a message; it is handled after those that were left before. */
+  public final void tell(M message) {
+    mailbox.offer(message);
+    waiting++;
     if (!awake) {
       awake = true;
       loop.execute(this::drain);
     }
-    return true;
   }
 
   /** Handles one message; the only place where the actor's state changes. */
@@ -44,6 +58,7 @@
     M message;
     int handled = 0;
     while (handled++ < BATCH && (message = mailbox.poll()) != null) {
+      waiting--;
       try {
         receive(message);
       } catch (RuntimeException e) {
@@ -55,7 +70,7 @@
             e);
       }
     }
-    awake = !mailbox.isEmpty();
+    awake = waiting > 0;
     if (awake) {
       loop.execute(this::drain);
     }
--- /dev/null
+++ b/src/test/java/io/pearscale/transport/ActorTest.java
@@ -0,0 +1,61 @@
+package io.pearscale.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Under a flood requests are refused, while what an actor must know reaches it all the same. */
+class ActorTest {
+  private static final class Listener extends Actor<String> {
+    final List<String> received = new ArrayList<>();
+
+    Listener(Loop loop) {
+      super(loop);
+    }
+
+    @Override
+    protected void receive(String message) {
+      received.add(message);
+      if (message.equals("bad")) {
+        throw new IllegalStateException("on purpose");
+      }
+    }
+  }
+
+  private final CountingLoop loop = new CountingLoop();
+  private final Listener actor = new Listener(loop);
+
+  @Test
+  void whatIsToldIsNeverDropped() {
+    for (int i = 0; i < Actor.MOST_WAITING; i++) {
+      assertTrue(actor.offer("request"));
+    }
+    assertFalse(actor.offer("one too many"));
+    actor.tell("cancelled");
+    loop.pass(Duration.ofSeconds(1));
+    assertEquals(Actor.MOST_WAITING + 1, actor.received.size());
+    assertEquals("cancelled", actor.received.get(Actor.MOST_WAITING));
+  }
+
+  @Test
+  void requestsAreTakenAgainOnceTheFloodIsOver() {
+    for (int i = 0; i <= Actor.MOST_WAITING; i++) {
+      actor.offer("request");
+    }
+    loop.pass(Duration.ofSeconds(1));
+    assertTrue(actor.offer("request"));
+  }
+
+  @Test
+  void aMessageThatFailsSilencesNobody() {
+    actor.tell("bad");
+    actor.tell("good");
+    loop.pass(Duration.ofSeconds(1));
+    assertEquals(List.of("bad", "good"), actor.received);
+  }
+}
