--- a/src/test/java/io/pearscale/sim/ElectionTest.java
+++ b/src/test/java/io/pearscale/sim/ElectionTest.java
@@ -1,6 +1,7 @@
 package io.pearscale.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pearscale.coordination.ElectionActor;
@@ -16,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.api.Test;
@@ -26,6 +28,11 @@
   private boolean holdCommits;
   private Runnable held = () -> {};
 
+  /** The state service answers nobody. */
+  private boolean out;
+
+  private final List<Long> questions = new ArrayList<>();
+
   private ElectionActor election() {
     for (int i = 0; i < 3; i++) {
       world.nodes.put("hive-" + i, new SimNode(world, "hive-" + i));
@@ -76,6 +83,50 @@
     assertEquals(List.of(), told);
   }
 
+  private void word(ElectionActor election, String peer, long question, String... cancelled) {
+    election.tell(
+        new ElectionActor.Vouched(peer, question, 1, List.of(cancelled), Optional.empty()));
+    play(1);
+  }
+
+  @Test
+  void onlyAllWordsToOneQuestionExtendTheProof() {
+    ElectionActor election = election();
+    election.tell(new ElectionActor.Loaded(Map.of()));
+    play(500);
+    out = true;
+    play(2500);
+    int last = questions.size() - 1;
+    assertTrue(last >= 1, "the leader asked " + questions.size() + " times");
+    told.clear();
+    long before = questions.get(last - 1);
+    long question = questions.get(last);
+    word(election, "hive-0", before);
+    word(election, "hive-1", before, "wk-old");
+    word(election, "hive-2", before);
+    word(election, "hive-0", question);
+    word(election, "hive-1", question, "wk-1");
+    assertEquals(List.of(), told, "hive-2 has not answered this question");
+    word(election, "hive-2", question, "wk-2");
+    assertEquals(List.of("vouched [wk-1, wk-2]"), told);
+  }
+
+  @Test
+  void aWordOfANewerTermDeposes() {
+    ElectionActor election = election();
+    election.tell(new ElectionActor.Loaded(Map.of()));
+    play(500);
+    out = true;
+    play(2500);
+    told.clear();
+    long question = questions.get(questions.size() - 1);
+    word(election, "hive-0", question);
+    word(election, "hive-1", question);
+    election.tell(new ElectionActor.Vouched("hive-2", question, 2, List.of(), Optional.empty()));
+    play(1);
+    assertEquals(List.of("lost 1"), told);
+  }
+
   @Override
   public void call(
       String address,
@@ -84,7 +135,9 @@
       JsonNode body,
       Duration timeout,
       Consumer<Reply> answer) {
-    if (path.equals("/commit") && holdCommits) {
+    if (out) {
+      after(timeout, () -> answer.accept(Reply.NONE));
+    } else if (path.equals("/commit") && holdCommits) {
       world.state.serve(
           "hive-0", method, path, body, r -> held = () -> execute(() -> answer.accept(r)));
     } else {
@@ -101,7 +154,9 @@
   public void confirmed(Instant evidence) {}
 
   @Override
-  public void vouched(Instant evidence, Set<String> cancelled, List<LiveJobs> live) {}
+  public void vouched(Instant evidence, Set<String> cancelled, List<LiveJobs> live) {
+    told.add("vouched " + new TreeSet<>(cancelled));
+  }
 
   @Override
   public void acknowledged() {
@@ -109,10 +164,14 @@
   }
 
   @Override
-  public void ask(long nonce) {}
+  public void ask(long nonce) {
+    questions.add(nonce);
+  }
 
   @Override
-  public void lost(long term) {}
+  public void lost(long term) {
+    told.add("lost " + term);
+  }
 
   @Override
   public void leader(long term, Optional<String> name) {}
