Let controllers stay out of stored state that their build does not support

Need: an old and a new build run side by side while controllers are replaced. Before any release may change a stored form, the ones in the field must know that there are forms, and leave alone what they can't read. So far a record that could not be read was passed over: a new leader that skipped marks would have started their tasks a second time.

Change: package `upgrade`. The level of stored forms is a key of the state service (absent: level 0). Every write of any controller is guarded by its stamp, submissions and cancels included, so whoever missed a switch writes nothing. A build that does not support the level, or can't read it, does not stand for leader or goes at once and gives its grant back, gives peers no word, answers users 503 with Retry-After and says why once in the log. A new leader decodes marks and roster as a whole before it takes any of it over; one record, or job, that can't be read makes it step down and stay out until one of them changes.

The simulated state service checks who writes under which level.

Cost: one condition more per transaction; nothing else where no level is stored.

--- a/src/main/java/io/pearscale/bookkeeping/Controller.java
+++ b/src/main/java/io/pearscale/bookkeeping/Controller.java
@@ -14,6 +14,7 @@
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.ReportAnswer;
 import io.pearscale.protocol.Settings;
+import io.pearscale.storage.Keys;
 import io.pearscale.storage.ReplicaActor;
 import io.pearscale.storage.ReplicaActor.Entry;
 import io.pearscale.storage.ReplicaActor.KeyChange;
@@ -23,6 +24,8 @@
 import io.pearscale.transport.Links;
 import io.pearscale.transport.Loop;
 import io.pearscale.transport.MessagePack;
+import io.pearscale.upgrade.LevelGate;
+import io.pearscale.upgrade.SupportedLevels;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -47,6 +50,9 @@
   private static final Duration STARTING = Duration.ofSeconds(5);
   private static final Duration STORE_SILENT = Duration.ofMillis(4500);
 
+  /** When users are to ask again whom a build that must stay out has refused. */
+  private static final Duration OTHERS_SERVE = Duration.ofSeconds(5);
+
   private record PeerState(Instant heard, boolean storeOk) {}
 
   private final Loop loop;
@@ -58,6 +64,7 @@
   private final RelayActor relay;
   private final SchedulerActor scheduler;
   private final ApiActor api;
+  private final LevelGate level;
   private final Map<String, PeerState> peers = new HashMap<>();
   private long term;
   private Optional<String> leader = Optional.empty();
@@ -76,6 +83,7 @@
    * Wires a controller; {@link #start} sets it going.
    *
    * @param renewals where leadership is renewed, in production beside all else
+   * @param supported the levels of stored forms that this build reads and writes
    */
   public Controller(
       Loop loop,
@@ -83,13 +91,15 @@
       Lane renewals,
       Links links,
       Settings settings,
+      SupportedLevels supported,
       Tuning tuning,
       RandomGenerator random,
       InstantSource timeOfDay) {
     this.loop = loop;
     this.settings = settings;
     this.links = links;
-    this.state = new StateClient(loop, calls, settings);
+    this.level = new LevelGate(supported);
+    this.state = new StateClient(loop, calls, settings, level::stamp);
     this.replica = new ReplicaActor(loop, state, random);
     this.api =
         new ApiActor(
@@ -109,7 +119,14 @@
             new StateClient(renewals.loop, renewals.calls, settings),
             settings.grantTime().multipliedBy(2));
     this.election =
-        new ElectionActor(loop, state, keeper, settings, random, List.of(new ElectionListener()));
+        new ElectionActor(
+            loop,
+            state,
+            keeper,
+            settings,
+            random,
+            level::objection,
+            List.of(new ElectionListener()));
     this.scheduler =
         new SchedulerActor(
             loop,
@@ -120,6 +137,7 @@
             random,
             timeOfDay,
             t -> tellElection(new ElectionActor.HigherTerm(t)),
+            reason -> tellElection(new ElectionActor.Unfit(reason)),
             this::counts);
     this.relay =
         new RelayActor(
@@ -144,6 +162,8 @@
   private final class ReplicaListener implements ReplicaActor.Listener {
     @Override
     public void loaded(Map<String, Entry> all, long epoch) {
+      // First of all: what the others do with the keys depends on it.
+      updateLevel(Optional.ofNullable(all.get(Keys.LEVEL)));
       loadEpoch = loaded ? loadEpoch : epoch;
       loaded = true;
       copyEpoch = epoch;
@@ -154,6 +174,7 @@
 
     @Override
     public void changed(List<KeyChange> changes, long epoch) {
+      changes.stream().filter(c -> c.key().equals(Keys.LEVEL)).forEach(c -> updateLevel(c.entry()));
       copyEpoch = epoch;
       scheduler.tell(new SchedulerActor.Changed(changes, epoch));
       api.tell(new ApiActor.Changed(changes));
@@ -166,6 +187,10 @@
     }
   }
 
+  private void updateLevel(Optional<Entry> stored) {
+    level.update(stored.map(Entry::value), stored.map(Entry::stamp).orElse(0L));
+  }
+
   private final class ElectionListener implements ElectionActor.Listener {
     @Override
     public void won(long newTerm, long termStamp, Instant evidence) {
@@ -261,6 +286,7 @@
 
   private boolean storeOk() {
     return loaded
+        && level.objection().isEmpty()
         && state
             .lastGood()
             .map(t -> Duration.between(t, loop.clock().instant()).compareTo(STORE_SILENT) < 0)
@@ -280,7 +306,7 @@
       peers.put(peer, new PeerState(loop.clock().instant(), m.storeOk()));
       election.tell(new ElectionActor.Heard(peer, m.term(), m.leader()));
     } else if (message instanceof PeerMessage.Question m) {
-      if (loaded) {
+      if (loaded && level.objection().isEmpty()) {
         vouch(peer, m);
       }
     } else if (message instanceof PeerMessage.Vouch m) {
@@ -368,7 +394,9 @@
   }
 
   private void toApi(ApiActor.Message message, Consumer<Response> respond) {
-    if (!api.offer(message)) {
+    if (level.objection().isPresent()) {
+      respond.accept(Response.later(OTHERS_SERVE, level.objection().get()));
+    } else if (!api.offer(message)) {
       respond.accept(Response.later(Duration.ofSeconds(2), "busy"));
     }
   }
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
@@ -181,6 +181,7 @@
   private final RandomGenerator random;
   private final InstantSource timeOfDay;
   private final LongConsumer higherTerm;
+  private final Consumer<String> unfit;
   private final Consumer<List<JobCount>> counts;
   private final CloudActor cloud;
   private final Map<String, Team> teams = new HashMap<>();
@@ -189,6 +190,10 @@
   private final Map<String, Job> jobs = new LinkedHashMap<>();
 
   private final CancelledJobs cancelledJobs = new CancelledJobs();
+
+  /** Keys of jobs that can't be read. */
+  private final Set<String> unreadableJobs = new HashSet<>();
+
   private final Map<String, JsonNode> rawMarks = new TreeMap<>();
   private final Map<String, JsonNode> rawRoster = new TreeMap<>();
   private final Map<String, MachineType> types = new LinkedHashMap<>();
@@ -263,6 +268,7 @@
    * Makes the books.
    *
    * @param higherTerm is told of a higher term than ours
+   * @param unfit is told why this controller can't lead, of a record that it can't read
    * @param counts is told of task counts that changed
    */
   public SchedulerActor(
@@ -274,6 +280,7 @@
       RandomGenerator random,
       InstantSource timeOfDay,
       LongConsumer higherTerm,
+      Consumer<String> unfit,
       Consumer<List<JobCount>> counts) {
     super(loop);
     this.state = state;
@@ -283,6 +290,7 @@
     this.random = random;
     this.timeOfDay = timeOfDay;
     this.higherTerm = higherTerm;
+    this.unfit = unfit;
     this.counts = counts;
     this.cloud = new CloudActor(loop, calls, settings, e -> tell(new CloudSaid(e)));
     this.reportDue = settings.workers().report().multipliedBy(13).dividedBy(10);
@@ -359,6 +367,7 @@
         removeJob(id);
       }
     }
+    unreadableJobs.clear();
     rawMarks.clear();
     rawRoster.clear();
     m.all.forEach((key, entry) -> changed(new KeyChange(key, Optional.of(entry))));
@@ -371,8 +380,9 @@
     String key = c.key();
     if (Keys.isLive(key)) {
       if (c.entry().isPresent()) {
-        addJob(c.entry().get());
+        addJob(key, c.entry().get());
       } else {
+        unreadableJobs.remove(key);
         removeJob(Keys.name(key));
       }
     } else if (Keys.isMarks(key)) {
@@ -401,7 +411,7 @@
     }
   }
 
-  private void addJob(Entry e) {
+  private void addJob(String key, Entry e) {
     try {
       JobSpec spec = JobSpec.parse(e.value().path("spec"));
       if (jobs.containsKey(spec.id()) || cancelledJobs.contains(spec.id())) {
@@ -419,7 +429,8 @@
       classes.note(job);
       requeue(job);
     } catch (Malformed x) {
-      log.error("event=stored_job_unreadable reason={}", x.getMessage());
+      log.error("event=stored_job_unreadable key={} reason={}", key, x.getMessage());
+      unreadableJobs.add(key);
     }
   }
 
@@ -552,30 +563,15 @@
     if (!leading || ready || !loaded || epoch < termStamp) {
       return;
     }
+    Optional<StoredRecords> records = storedRecords();
+    if (records.isEmpty()) {
+      return;
+    }
     ready = true;
     jobs.values().forEach(Job::forget);
     newBooks();
     finishing.clear();
-    Map<Integer, Machine> numbered = new HashMap<>();
-    rawRoster.forEach(
-        (key, value) -> {
-          for (Roster.Entry e : Roster.decode(value)) {
-            numbered.put(
-                Marks.host(Keys.number(key), e.place(), Shards.PLACES),
-                fromRoster(e, Keys.number(key)));
-          }
-        });
-    rawMarks.forEach(
-        (key, value) -> {
-          for (Marks.Part p : Marks.decode(value)) {
-            Job j = jobs.get(p.job());
-            if (j != null && p.part() >= 0 && p.part() < j.parts()) {
-              fromMarks(j, p, numbered, Keys.number(key));
-            } else if (j == null && p.part() >= 0 && p.claim().isPresent()) {
-              remainsFromMarks(p, numbered, Keys.number(key));
-            }
-          }
-        });
+    takeOver(records.get());
     jobs.values().forEach(this::requeue);
     unprobed.clear();
     unprobed.addAll(machines.values());
@@ -589,6 +585,44 @@
     schedule();
   }
 
+  /**
+   * All that a predecessor recorded; empty, and this controller unfit to lead, if it can't be read.
+   */
+  private Optional<StoredRecords> storedRecords() {
+    try {
+      if (!unreadableJobs.isEmpty()) {
+        throw new Malformed(unreadableJobs.iterator().next() + ": job can't be read");
+      }
+      return Optional.of(StoredRecords.decode(rawRoster, rawMarks));
+    } catch (Malformed e) {
+      log.error("event=stored_record_unreadable term={} reason={}", term, e.getMessage());
+      unfit.accept(e.getMessage());
+      return Optional.empty();
+    }
+  }
+
+  private void takeOver(StoredRecords records) {
+    Map<Integer, Machine> numbered = new HashMap<>();
+    records
+        .machines()
+        .forEach(
+            (number, entries) -> {
+              for (Roster.Entry e : entries) {
+                numbered.put(Marks.host(number, e.place(), Shards.PLACES), fromRoster(e, number));
+              }
+            });
+    records.tasks().forEach((number, parts) -> parts.forEach(p -> takeOver(p, numbered, number)));
+  }
+
+  private void takeOver(Marks.Part p, Map<Integer, Machine> numbered, int value) {
+    Job j = jobs.get(p.job());
+    if (j != null && p.part() >= 0 && p.part() < j.parts()) {
+      fromMarks(j, p, numbered, value);
+    } else if (j == null && p.part() >= 0 && p.claim().isPresent()) {
+      remainsFromMarks(p, numbered, value);
+    }
+  }
+
   private Machine fromRoster(Roster.Entry e, int value) {
     MachineType type = types.getOrDefault(e.type(), unknownType(e.type()));
     boolean seen = !e.address().isEmpty();
@@ -1663,6 +1697,13 @@
     b.rosters.forEach(roster::due);
     b.marks.forEach(marks::due);
     List<String> failed = reply.status() == 409 ? StateClient.failedGuards(reply) : List.of();
+    if (failed.contains(Keys.LEVEL) && !failed.contains(Keys.TERM)) {
+      // The level of stored forms was switched: the watch says whether this build supports it.
+      log.info("event=commit_under_former_level term={}", term);
+      committing = false;
+      retryCommit();
+      return;
+    }
     if (reply.status() == 409 && !failed.contains(Keys.TERM)) {
       // Somebody was faster with these jobs, by cancelling them; the watch brings the news.
       committing = false;
--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -9,6 +9,7 @@
 import io.pearscale.transport.Links;
 import io.pearscale.transport.PeerLinks;
 import io.pearscale.transport.XnioLoop;
+import io.pearscale.upgrade.SupportedLevels;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
@@ -79,6 +80,7 @@
             new Controller.Lane(renewalLoop, renewalCalls),
             links,
             settings,
+            SupportedLevels.OF_THIS_BUILD,
             tuning,
             random,
             InstantSource.system());
--- a/src/main/java/io/pearscale/coordination/ElectionActor.java
+++ b/src/main/java/io/pearscale/coordination/ElectionActor.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -72,6 +73,9 @@
       String peer, long nonce, long term, List<String> cancelled, Optional<LiveJobs> live)
       implements Message {}
 
+  /** A record that a leader needs can't be read here. */
+  public record Unfit(String reason) implements Message {}
+
   private record FirstLook(long term, String peer, Reply reply) implements Message {}
 
   private record SecondLook(long term, String peer, long stamp, Reply reply) implements Message {}
@@ -123,8 +127,15 @@
   private final Settings settings;
   private final RandomGenerator random;
   private final List<Listener> listeners;
+  private final Supplier<Optional<String>> objection;
   private final String nonce;
 
+  /** Why this controller can't lead although its build supports the level in force. */
+  private Optional<String> unfit = Optional.empty();
+
+  /** The reason for staying out that was logged last. */
+  private Optional<String> loggedReason = Optional.empty();
+
   private boolean loaded;
   private Optional<Entry> leadEntry = Optional.empty();
   private Optional<Entry> termEntry = Optional.empty();
@@ -146,19 +157,26 @@
   /** Peers that have said that they know of our election. */
   private final Set<String> aware = new HashSet<>();
 
-  /** Takes part in elections; {@code listeners} are told of the outcome. */
+  /**
+   * Takes part in elections.
+   *
+   * @param objection why this build must not take part under the stored level, if it must not
+   * @param listeners are told of the outcome
+   */
   public ElectionActor(
       Loop loop,
       StateClient state,
       GrantKeeper keeper,
       Settings settings,
       RandomGenerator random,
+      Supplier<Optional<String>> objection,
       List<Listener> listeners) {
     super(loop);
     this.state = state;
     this.keeper = keeper;
     this.settings = settings;
     this.random = random;
+    this.objection = objection;
     this.listeners = listeners;
     this.nonce = Long.toHexString(random.nextLong());
     // An answer to a question of a former life must not pass for one to ours.
@@ -169,13 +187,20 @@
   protected void receive(Message message) {
     if (message instanceof Loaded m) {
       loaded = true;
+      unfit = Optional.empty();
       leadEntry = Optional.ofNullable(m.all.get(Keys.LEADER));
       termEntry = Optional.ofNullable(m.all.get(Keys.TERM));
       look();
     } else if (message instanceof Changed m) {
       boolean ours = false;
       for (KeyChange c : m.changes) {
-        if (c.key().equals(Keys.LEADER)) {
+        if (Keys.isNeededToLead(c.key()) && unfit.isPresent()) {
+          // Perhaps it can be read now; a new leader reads all anew in any case.
+          unfit = Optional.empty();
+          ours = true;
+        } else if (c.key().equals(Keys.LEVEL)) {
+          ours = true;
+        } else if (c.key().equals(Keys.LEADER)) {
           leadEntry = c.entry();
           ours = true;
         } else if (c.key().equals(Keys.TERM)) {
@@ -191,6 +216,9 @@
         log.warn("event=higher_term_seen term={} seen={}", term, m.term);
         stepDown("higher_term");
       }
+    } else if (message instanceof Unfit m) {
+      unfit = Optional.of(m.reason);
+      look();
     } else if (message instanceof Heard m) {
       heard(m);
     } else if (message instanceof PeerEnded m) {
@@ -222,6 +250,9 @@
 
   /** Looks at what the state service holds and acts on it. */
   private void look() {
+    if (staysOut()) {
+      return;
+    }
     if (leading) {
       if (knownTerm() > term) {
         stepDown("other_leader");
@@ -253,6 +284,35 @@
     listeners.forEach(l -> l.leader(knownTerm(), Optional.of(name)));
   }
 
+  /**
+   * Whether this controller may not lead: its build does not support the level of what is stored,
+   * or a record that a leader needs can't be read. It still learns who leads, so as to relay
+   * reports.
+   */
+  private boolean staysOut() {
+    Optional<String> reason = objection.get().or(() -> unfit);
+    if (!reason.equals(loggedReason)) {
+      loggedReason = reason;
+      log.warn("event=stays_out reason={}", reason.orElse("none any more"));
+    }
+    if (reason.isEmpty()) {
+      return false;
+    }
+    if (leading) {
+      long given = grant;
+      stepDown("stays_out");
+      state.revoke(given, r -> {});
+    }
+    round++;
+    standing = false;
+    Optional<String> other =
+        leadEntry
+            .map(e -> e.value().path("node").asText())
+            .filter(name -> !name.equals(settings.host()));
+    listeners.forEach(l -> l.leader(knownTerm(), other));
+    return true;
+  }
+
   private void heard(Heard m) {
     highestHeard = Math.max(highestHeard, m.term);
     if (leading && m.term > term) {
@@ -316,6 +376,9 @@
   }
 
   private void stand() {
+    if (staysOut()) {
+      return;
+    }
     int r = round;
     if (leadEntry.isPresent()
         && !leadEntry.get().value().path("node").asText().equals(settings.host())) {
@@ -366,6 +429,10 @@
   }
 
   private void win(long newTerm, long termStamp) {
+    if (staysOut()) {
+      state.revoke(grant, r -> {});
+      return;
+    }
     if (newTerm < highestHeard) {
       // The news of our election were long on their way, or we stood still meanwhile. We have said
       // that we know of a newer term, and its leader relies on it that nobody leads in an older
--- a/src/main/java/io/pearscale/storage/Keys.java
+++ b/src/main/java/io/pearscale/storage/Keys.java
@@ -15,6 +15,9 @@
   /** The highest term so far; guards each write of a leader. */
   public static final String TERM = "c/term";
 
+  /** The level of stored forms that is in force; guards each write of any controller. */
+  public static final String LEVEL = "c/level";
+
   /** The last catalogue of machine types. */
   public static final String CATALOGUE = "c/catalogue";
 
@@ -60,6 +63,11 @@
     return key.startsWith(ROSTER);
   }
 
+  /** Whether the key holds a record that a new leader must be able to read. */
+  public static boolean isNeededToLead(String key) {
+    return isLive(key) || isMarks(key) || isRoster(key);
+  }
+
   /** The job in the key of a job. */
   public static String name(String key) {
     return key.substring(key.lastIndexOf('/') + 1);
--- a/src/main/java/io/pearscale/storage/Marks.java
+++ b/src/main/java/io/pearscale/storage/Marks.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.Fields;
+import io.pearscale.protocol.Malformed;
 import io.pearscale.transport.MessagePack;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -21,6 +23,9 @@
 
   private static final int MOST = 0xffff;
 
+  /** Done tasks, hosts, three amounts and a team. */
+  private static final int TEXTS_WITH_CLAIM = 6;
+
   /** Quotes, colon and comma of an entry. */
   private static final int JSON_PUNCTUATION = 6;
 
@@ -102,40 +107,45 @@
     return length;
   }
 
-  /** Decodes a value. Entries that were not written by this code are passed over. */
-  public static List<Part> decode(JsonNode value) {
+  /**
+   * Decodes a value. An entry that can't be read is not taken for absent: its tasks may run
+   * somewhere, so whoever can't read it must not lead.
+   */
+  public static List<Part> decode(JsonNode value) throws Malformed {
     List<Part> parts = new ArrayList<>();
-    value
-        .fields()
-        .forEachRemaining(
-            f -> {
-              try {
-                int slash = f.getKey().lastIndexOf('/');
-                String[] text = f.getValue().asText().split("\\|", 6);
-                byte[] bytes = Base64.getDecoder().decode(text[1]);
-                int[] hosts = new int[bytes.length / 2];
-                for (int i = 0; i < hosts.length; i++) {
-                  hosts[i] = (bytes[2 * i] & 0xff) << 8 | bytes[2 * i + 1] & 0xff;
-                }
-                parts.add(
-                    new Part(
-                        f.getKey().substring(0, slash),
-                        Integer.parseInt(f.getKey().substring(slash + 1)),
-                        BitSet.valueOf(Base64.getDecoder().decode(text[0])),
-                        hosts,
-                        text.length < 6
-                            ? Optional.empty()
-                            : Optional.of(
-                                new Claim(
-                                    text[5],
-                                    Double.parseDouble(text[2]),
-                                    Double.parseDouble(text[3]),
-                                    Double.parseDouble(text[4])))));
-              } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
-                org.slf4j.LoggerFactory.getLogger(Marks.class)
-                    .error("event=stored_marks_unreadable entry={}", f.getKey());
-              }
-            });
+    for (var fields = Fields.map(value).fields(); fields.hasNext(); ) {
+      var field = fields.next();
+      try {
+        parts.add(decode(field.getKey(), field.getValue().asText()));
+      } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+        throw new Malformed("marks of " + field.getKey());
+      }
+    }
     return parts;
   }
+
+  private static Part decode(String name, String entry) {
+    int slash = name.lastIndexOf('/');
+    String[] text = entry.split("\\|", TEXTS_WITH_CLAIM);
+    byte[] bytes = Base64.getDecoder().decode(text[1]);
+    int[] hosts = new int[bytes.length / 2];
+    for (int i = 0; i < hosts.length; i++) {
+      hosts[i] = (bytes[2 * i] & 0xff) << 8 | bytes[2 * i + 1] & 0xff;
+    }
+    Optional<Claim> claim =
+        text.length < TEXTS_WITH_CLAIM
+            ? Optional.empty()
+            : Optional.of(
+                new Claim(
+                    text[5],
+                    Double.parseDouble(text[2]),
+                    Double.parseDouble(text[3]),
+                    Double.parseDouble(text[4])));
+    return new Part(
+        name.substring(0, slash),
+        Integer.parseInt(name.substring(slash + 1)),
+        BitSet.valueOf(Base64.getDecoder().decode(text[0])),
+        hosts,
+        claim);
+  }
 }
--- a/src/main/java/io/pearscale/storage/Roster.java
+++ b/src/main/java/io/pearscale/storage/Roster.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.Fields;
+import io.pearscale.protocol.Malformed;
 import io.pearscale.transport.MessagePack;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -59,20 +61,32 @@
     return value;
   }
 
-  /** Decodes a value; what is not there reads as empty, which no decision trusts. */
-  public static List<Entry> decode(JsonNode value) {
+  /** Decodes a value. An entry that can't be read is not taken for absent, as in {@link Marks}. */
+  public static List<Entry> decode(JsonNode value) throws Malformed {
     List<Entry> entries = new ArrayList<>();
-    for (JsonNode n : value.path("m")) {
+    for (JsonNode n : Fields.list(Fields.map(value), "m")) {
+      boolean complete =
+          n.path(0).isIntegralNumber()
+              && n.path(1).isTextual()
+              && n.path(2).isTextual()
+              && n.path(3).isTextual()
+              && n.path(4).isTextual()
+              && n.path(5).isBoolean()
+              && n.path(6).isIntegralNumber()
+              && n.path(7).isBoolean();
+      if (!complete) {
+        throw new Malformed("roster entry " + n.path(1).asText("without a name"));
+      }
       entries.add(
           new Entry(
-              n.path(0).asInt(),
-              n.path(1).asText(),
-              n.path(2).asText(),
-              n.path(3).asText(),
-              n.path(4).asText(),
-              n.path(5).asBoolean(),
-              n.path(6).asLong(1),
-              n.path(7).asBoolean()));
+              n.path(0).intValue(),
+              n.path(1).textValue(),
+              n.path(2).textValue(),
+              n.path(3).textValue(),
+              n.path(4).textValue(),
+              n.path(5).booleanValue(),
+              n.path(6).longValue(),
+              n.path(7).booleanValue()));
     }
     return entries;
   }
--- a/src/main/java/io/pearscale/storage/StateClient.java
+++ b/src/main/java/io/pearscale/storage/StateClient.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * Speaks to the state service within this controller's part of the rates. What would go over is
@@ -27,10 +28,21 @@
   private final String address;
   private final Budget requests;
   private final Budget writes;
+  private final LongSupplier levelStamp;
   private Optional<Instant> lastGood = Optional.empty();
 
-  /** Uses the service named in the settings. */
+  /** Uses the service named in the settings, for writes only where no level was ever stored. */
   public StateClient(Loop loop, Calls calls, Settings settings) {
+    this(loop, calls, settings, () -> 0);
+  }
+
+  /**
+   * Uses the service named in the settings.
+   *
+   * @param levelStamp the stamp of {@link Keys#LEVEL} as far as known; guards each write
+   */
+  public StateClient(Loop loop, Calls calls, Settings settings, LongSupplier levelStamp) {
+    this.levelStamp = levelStamp;
     this.loop = loop;
     this.calls = calls;
     this.address = settings.state();
@@ -65,7 +77,10 @@
     return writes.available(changes);
   }
 
-  /** Carries out the changes if every guard holds. */
+  /**
+   * Carries out the changes if every guard holds, and if the level of stored forms is still the one
+   * that this controller knows: whoever missed a switch must not write in the old form.
+   */
   public void commit(List<Guard> guards, List<Change> changes, Consumer<Reply> answer) {
     if (!writes.take(changes.size())) {
       loop.execute(() -> answer.accept(LIMITED));
@@ -74,6 +89,7 @@
     ObjectNode body = MessagePack.map();
     var g = body.putArray("guards");
     guards.forEach(x -> g.addObject().put("key", x.key()).put("stamp", x.stamp()));
+    g.addObject().put("key", Keys.LEVEL).put("stamp", levelStamp.getAsLong());
     var t = body.putArray("then");
     for (Change c : changes) {
       ObjectNode n = t.addObject();
--- /dev/null
+++ b/src/main/java/io/pearscale/upgrade/LevelGate.java
@@ -0,0 +1,65 @@
+package io.pearscale.upgrade;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pearscale.protocol.Malformed;
+import java.util.Optional;
+
+/**
+ * Decides from the stored level whether this controller may lead, write and speak for what is
+ * stored. Every write is guarded by the stamp of the level that it was made under, so a controller
+ * that has missed a switch, or stood still in it, changes nothing.
+ *
+ * <p>A level that can't be read is not taken for level 0: it was written by a later release, or is
+ * damaged, and in both cases nothing is known of the other records' form.
+ */
+public final class LevelGate {
+  /** The stamp of a key that does not exist. */
+  private static final long ABSENT = 0;
+
+  private final SupportedLevels supported;
+  private long stamp = ABSENT;
+  private Optional<String> objection;
+
+  /** A gate for a build that supports those levels; until told otherwise level 0 is in force. */
+  public LevelGate(SupportedLevels supported) {
+    this.supported = supported;
+    this.objection = objectionTo(ClusterLevel.UNVERSIONED);
+  }
+
+  /** The stored level has changed; empty when there is none. */
+  public void update(Optional<JsonNode> value, long newStamp) {
+    stamp = value.isPresent() ? newStamp : ABSENT;
+    objection = judge(value);
+  }
+
+  /** The stamp that guards what is written under the level known here. */
+  public long stamp() {
+    return stamp;
+  }
+
+  /** Why this controller must stay out; empty when it may take part. */
+  public Optional<String> objection() {
+    return objection;
+  }
+
+  private Optional<String> judge(Optional<JsonNode> value) {
+    if (value.isEmpty()) {
+      return objectionTo(ClusterLevel.UNVERSIONED);
+    }
+    try {
+      return objectionTo(ClusterLevel.parse(value.get()));
+    } catch (Malformed e) {
+      return Optional.of("the level of the stored state can't be read: " + e.getMessage());
+    }
+  }
+
+  private Optional<String> objectionTo(ClusterLevel inForce) {
+    return supported.contains(inForce.level())
+        ? Optional.empty()
+        : Optional.of(
+            "the stored state is at level "
+                + inForce.level()
+                + ", this build supports "
+                + supported);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/upgrade/SupportedLevels.java
@@ -0,0 +1,27 @@
+package io.pearscale.upgrade;
+
+/**
+ * The levels of stored state that a build can read and write, both ends included. A level stands
+ * for the forms of all records together; a release that changes the form of any record adds one.
+ */
+public record SupportedLevels(int lowest, int highest) {
+  /** What this build supports. Level 0 is the form from before there were levels. */
+  public static final SupportedLevels OF_THIS_BUILD = new SupportedLevels(0, 0);
+
+  /** Checks the range. */
+  public SupportedLevels {
+    if (lowest < 0 || highest < lowest) {
+      throw new IllegalArgumentException("levels " + lowest + " to " + highest);
+    }
+  }
+
+  /** Whether the level lies in the range. */
+  public boolean contains(int level) {
+    return lowest <= level && level <= highest;
+  }
+
+  @Override
+  public String toString() {
+    return lowest == highest ? Integer.toString(lowest) : lowest + " to " + highest;
+  }
+}
--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -60,6 +60,7 @@
   private final Map<String, Entry> keys = new LinkedHashMap<>();
   private Optional<ReportAnswer> answer = Optional.empty();
   private boolean higher;
+  private String unfit = "";
 
   private LeaderScript() {
     world.nodes.put("hive-0", new SimNode(world, "hive-0"));
@@ -77,6 +78,7 @@
             RandomGeneratorFactory.of("L64X128MixRandom").create(1),
             () -> world.now,
             t -> higher = true,
+            reason -> unfit = reason,
             c -> {});
   }
 
@@ -112,6 +114,9 @@
                 hosts.size(), m, m, "small", zone(m), false, 1, w.get(2).equals("retiring")));
         changed("c/roster/0", Optional.of(Roster.encode(hosts)));
       }
+      case "damaged" -> changed(w.get(1), Optional.of(World.map().put("wk-1/0", "?")));
+      case "damaged-job" ->
+          changed("c/live/" + w.get(1), Optional.of(World.map().put("spec", "?")));
       case "won" -> won(Long.parseLong(w.get(1)), w.contains("on-old-copy"));
       case "caught-up" -> {
         core.tell(new SchedulerActor.Changed(List.of(), stamp));
@@ -227,20 +232,16 @@
   }
 
   /** What the state service holds of a task: done, the name of a machine, or none. */
-  private String markOf(String task) {
+  private String markOf(String task) throws Malformed {
     String job = task.split("/")[0];
     int index = Integer.parseInt(task.split("/")[1]);
     Map<Integer, String> names = new HashMap<>();
-    world
-        .state
-        .under("c/roster/")
-        .forEach(
-            (key, value) ->
-                Roster.decode(value)
-                    .forEach(
-                        e ->
-                            names.put(
-                                Marks.host(Keys.number(key), e.place(), PLACES), e.machine())));
+    for (Map.Entry<String, JsonNode> value : world.state.under("c/roster/").entrySet()) {
+      int number = Keys.number(value.getKey());
+      for (Roster.Entry e : Roster.decode(value.getValue())) {
+        names.put(Marks.host(number, e.place(), PLACES), e.machine());
+      }
+    }
     for (JsonNode value : world.state.under("c/marks/").values()) {
       for (Marks.Part p : Marks.decode(value)) {
         if (p.job().equals(job) && p.done().get(index)) {
@@ -254,7 +255,7 @@
   }
 
   /** What the roster says of a machine. */
-  private String rosterOf(String machine) {
+  private String rosterOf(String machine) throws Malformed {
     for (JsonNode value : world.state.under("c/roster/").values()) {
       for (Roster.Entry e : Roster.decode(value)) {
         if (e.machine().equals(machine)) {
@@ -371,7 +372,7 @@
     return set;
   }
 
-  private Optional<String> expect(List<String> w) {
+  private Optional<String> expect(List<String> w) throws Malformed {
     switch (w.get(0)) {
       case "answer" -> {
         if (answer.isEmpty() || answer.get().status() != Integer.parseInt(w.get(1))) {
@@ -432,6 +433,9 @@
         String got = rosterOf(w.get(1));
         return got.equals(w.get(2)) ? Optional.empty() : Optional.of("roster " + got);
       }
+      case "unfit" -> {
+        return unfit.contains(w.get(1)) ? Optional.empty() : Optional.of("unfit: " + unfit);
+      }
       case "higher-term" -> {
         return higher ? Optional.empty() : Optional.of("not noticed");
       }
--- a/src/test/java/io/pearscale/sim/RandomRunsTest.java
+++ b/src/test/java/io/pearscale/sim/RandomRunsTest.java
@@ -32,6 +32,33 @@
     assertTrue(bad.isEmpty(), String.join("\n\n", bad));
   }
 
+  /**
+   * The same days while controllers of two builds run side by side and the level of stored forms is
+   * raised at some time: one controller has the old build, and stays out from then on.
+   */
+  @Test
+  void mixedBuildsServeThroughASwitchOfTheLevel() {
+    List<String> bad = new ArrayList<>();
+    for (long seed = FIRST; seed < FIRST + RUNS / 2; seed++) {
+      List<String> failures = Scenario.play(withMixedBuilds(day(seed), seed), seed);
+      if (!failures.isEmpty()) {
+        bad.add("seed " + seed + ":\n" + String.join("\n", failures));
+      }
+    }
+    assertTrue(bad.isEmpty(), String.join("\n\n", bad));
+  }
+
+  private static String withMixedBuilds(String day, long seed) {
+    RandomGenerator r = RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 104729);
+    int old = r.nextInt(3);
+    StringBuilder builds = new StringBuilder("nodes 3\n");
+    for (int i = 0; i < 3; i++) {
+      builds.append(i == old ? "" : "build hive-%d 0 1\n".formatted(i));
+    }
+    builds.append("at %.2f level 1\n".formatted(10 + r.nextDouble() * 70));
+    return day.replaceFirst("nodes 3\n", builds.toString());
+  }
+
   static String day(long seed) {
     RandomGenerator r = RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 7919);
     StringBuilder s = new StringBuilder();
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -4,6 +4,7 @@
 import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.Settings;
+import io.pearscale.upgrade.SupportedLevels;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -86,6 +87,7 @@
           world.nodes.put("hive-" + i, new SimNode(world, "hive-" + i));
         }
       }
+      case "build" -> build(w);
       case "drift" -> world.nodes.get(w.get(1)).drift = Double.parseDouble(w.get(2));
       case "cpu-share" -> world.cpuShare = Double.parseDouble(w.get(1));
       case "zones" -> world.zones = w.subList(1, w.size());
@@ -261,6 +263,12 @@
       case "slow-state" -> world.state.slowBy = seconds(w.get(1));
       case "slow-links" -> world.slowBy = seconds(w.get(1));
       case "slow" -> nodes(w.get(1)).forEach(n -> n.cost = seconds(w.get(2)));
+      case "build" -> build(w);
+      case "level" ->
+          world.state.set("c/level", World.map().put("level", Integer.parseInt(w.get(1))));
+      case "damage" -> world.state.damage(w.get(1));
+      case "repair" -> world.state.repair(w.get(1));
+      case "forget-history" -> world.state.forgetHistory();
       case "lose-answers" -> world.lostAnswers = Double.parseDouble(w.get(1));
       case "lose-commands" -> world.lostCommands = Double.parseDouble(w.get(1));
       case "ignore-kills" -> world.workers.get(name(w.get(1))).ignoresKills = true;
@@ -289,6 +297,14 @@
     }
   }
 
+  /**
+   * Installs a build that supports those levels of stored forms; it runs from the next start on.
+   */
+  private void build(List<String> w) {
+    world.nodes.get(w.get(1)).supported =
+        new SupportedLevels(Integer.parseInt(w.get(2)), Integer.parseInt(w.get(3)));
+  }
+
   /** The machine of that name; none if it was given back. */
   private Optional<SimWorker> worker(String name) {
     return Optional.ofNullable(world.workers.get(name(name)));
@@ -338,6 +354,10 @@
       good = world.repeats <= Integer.parseInt(w.get(2));
     } else if (w.get(0).equals("leader")) {
       good = world.state.leader().isPresent();
+    } else if (w.get(0).equals("leader-not")) {
+      good = !world.state.leader().equals(Optional.of(w.get(1)));
+    } else if (w.get(0).equals("nobody")) {
+      good = world.state.leader().isEmpty();
     } else if (w.get(0).equals("terms")) {
       good =
           world.state.under("c/term").get("c/term").path("term").asLong()
--- a/src/test/java/io/pearscale/sim/SimNode.java
+++ b/src/test/java/io/pearscale/sim/SimNode.java
@@ -6,6 +6,7 @@
 import io.pearscale.transport.Calls;
 import io.pearscale.transport.Links;
 import io.pearscale.transport.Loop;
+import io.pearscale.upgrade.SupportedLevels;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -40,6 +41,12 @@
 
   private Instant busyUntil = Instant.MIN;
 
+  /** The levels of stored forms that the build on this host supports, from its next start on. */
+  SupportedLevels supported = SupportedLevels.OF_THIS_BUILD;
+
+  /** Those of the build that runs. */
+  SupportedLevels running = supported;
+
   /** How fast the steady clock runs. */
   double drift = 1.0;
 
@@ -242,6 +249,7 @@
   void start() {
     life++;
     forget();
+    running = supported;
     Process p = new Process();
     controller =
         new Controller(
@@ -250,6 +258,7 @@
             new Controller.Lane(p, p),
             p,
             world.settings(name),
+            supported,
             Tuning.defaults(),
             RandomGeneratorFactory.of("L64X128MixRandom").create(world.random.nextLong()),
             () -> world.now);
--- a/src/test/java/io/pearscale/sim/SimState.java
+++ b/src/test/java/io/pearscale/sim/SimState.java
@@ -29,7 +29,9 @@
   private final Map<Long, Instant> grants = new HashMap<>();
   private final Map<Long, Duration> ttls = new HashMap<>();
   private final List<Watch> watches = new ArrayList<>();
+  private final Map<String, JsonNode> damaged = new HashMap<>();
   private long epoch;
+  private long oldestKnown;
   private long claims;
 
   /** Puts and deletes of all that were applied, and requests of any kind. */
@@ -90,10 +92,10 @@
     } else if (path.equals("/commit")) {
       if (lateCommits > 0) {
         lateCommits--;
-        world.after(lateBy, () -> commit(body, r -> {}));
+        world.after(lateBy, () -> commit(from, body, r -> {}));
         return;
       }
-      commit(body, answer);
+      commit(from, body, answer);
     } else if (path.equals("/grants")) {
       Duration ttl = Duration.ofMillis(body.path("ttlMs").asLong());
       grants.put(++claims, world.now.plus(ttl));
@@ -179,7 +181,7 @@
     answer.accept(ok(n.put("more", more)));
   }
 
-  private void commit(JsonNode body, Consumer<Reply> answer) {
+  private void commit(String from, JsonNode body, Consumer<Reply> answer) {
     List<String> failed = new ArrayList<>();
     for (JsonNode g : body.path("guards")) {
       Pair p = pairs.get(g.path("key").asText());
@@ -200,6 +202,7 @@
         return;
       }
     }
+    checkLevel(from);
     epoch++;
     for (JsonNode c : body.path("then")) {
       writes++;
@@ -215,6 +218,15 @@
     answer.accept(ok(World.map().put("epoch", epoch)));
   }
 
+  /** No controller writes under a level that its build does not support. */
+  private void checkLevel(String from) {
+    SimNode node = world.nodes.get(from);
+    int level = pairs.containsKey("c/level") ? pairs.get("c/level").value.path("level").asInt() : 0;
+    if (node != null && !node.running.contains(level)) {
+      world.breaks("wrote_unsupported_level", from + " at level " + level);
+    }
+  }
+
   private void watch(String from, String path, Consumer<Reply> answer) {
     Map<String, String> q = query(path);
     Watch w = new Watch(from, q.get("prefix"), Long.parseLong(q.get("since")), answer);
@@ -223,6 +235,10 @@
       answer.accept(new Reply(503, World.map()));
       return;
     }
+    if (w.since < oldestKnown) {
+      answer.accept(new Reply(410, World.map()));
+      return;
+    }
     if (block == 0 || !events(w).isEmpty()) {
       tell(w);
       return;
@@ -275,6 +291,29 @@
     return pairs.containsKey(key) ? pairs.get(key).stamp : 0;
   }
 
+  /** Writes a key as an operator's command would. */
+  void set(String key, JsonNode value) {
+    ObjectNode body = World.map();
+    body.putArray("then").addObject().put("write", key).set("value", value);
+    commit("operator", body, r -> {});
+  }
+
+  /** Spoils a value, which {@link #repair} brings back. */
+  void damage(String key) {
+    damaged.put(key, pairs.get(key).value);
+    set(key, World.map().put("m", "?").put("x/0", "?"));
+  }
+
+  void repair(String key) {
+    set(key, damaged.remove(key));
+  }
+
+  /** The service retains no changes from before now. */
+  void forgetHistory() {
+    oldestKnown = epoch;
+    history.clear();
+  }
+
   /** Whether a key is there and its value, as text, holds the given one. */
   boolean holds(String key, String text) {
     return pairs.containsKey(key) && show(key).contains(text);
