Say before an upgrade or a rollback whether a build may take part

Need: operators must know, before they start another build, whether it would serve or stay out, and with which reason; so far only a started controller's log told.

Left behind by earlier work: one way to make a worker of one thread (WarmUp had its own), one constant for the interval of renewals (two had 550 ms each).

--- a/src/main/java/io/pearscale/cli/Commands.java
+++ b/src/main/java/io/pearscale/cli/Commands.java
@@ -17,7 +17,7 @@
     mixinStandardHelpOptions = true,
     versionProvider = Commands.Version.class,
     synopsisSubcommandLabel = "COMMAND",
-    subcommands = {Commands.Serve.class, Commands.Check.class, WarmUp.class})
+    subcommands = {Commands.Serve.class, Commands.Check.class, UpgradeCommand.class, WarmUp.class})
 final class Commands {
   private Commands() {}
 
--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -105,7 +105,8 @@
         });
   }
 
-  private static XnioWorker oneThread() throws IOException {
+  /** A worker of one thread, which is all that a controller or a command needs. */
+  static XnioWorker oneThread() throws IOException {
     return Xnio.getInstance()
         .createWorker(
             OptionMap.builder()
--- a/src/main/java/io/pearscale/cli/WarmUp.java
+++ b/src/main/java/io/pearscale/cli/WarmUp.java
@@ -18,9 +18,6 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 import picocli.CommandLine.Command;
 
@@ -81,14 +78,7 @@
   @Override
   public Integer call() throws Exception {
     int[] ports = freePorts();
-    XnioWorker worker =
-        Xnio.getInstance()
-            .createWorker(
-                OptionMap.builder()
-                    .set(Options.WORKER_IO_THREADS, 1)
-                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                    .getMap());
+    XnioWorker worker = Server.oneThread();
     DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, 8192, 50, 4);
     HttpServer stub =
         new HttpServer(
--- a/src/main/java/io/pearscale/coordination/ElectionActor.java
+++ b/src/main/java/io/pearscale/coordination/ElectionActor.java
@@ -34,8 +34,6 @@
  * good renewal was <em>sent</em>.
  */
 public final class ElectionActor extends Actor<ElectionActor.Message> {
-  private static final Duration RENEW = Duration.ofMillis(550);
-
   /** A leader whose links are refused writes more often than this, see {@link #BEAT}. */
   private static final Duration SUSPICION = Duration.ofMillis(700);
 
@@ -455,7 +453,7 @@
     listeners.forEach(l -> l.won(term, termStamp, evidence));
     int r = round;
     keeper.keep(grant, (sent, reply) -> tell(new Renewed(r, sent, reply)));
-    loop.after(RENEW, () -> tell(new Renew(r)));
+    loop.after(GrantKeeper.INTERVAL, () -> tell(new Renew(r)));
     planExpiry();
   }
 
@@ -464,7 +462,7 @@
     int r = round;
     Instant now = loop.clock().instant();
     keeper.progress();
-    loop.after(RENEW, () -> tell(new Renew(r)));
+    loop.after(GrantKeeper.INTERVAL, () -> tell(new Renew(r)));
     if (Duration.between(evidence, now).compareTo(DOUBT) > 0) {
       ask(now);
     }
--- a/src/main/java/io/pearscale/coordination/GrantKeeper.java
+++ b/src/main/java/io/pearscale/coordination/GrantKeeper.java
@@ -16,7 +16,8 @@
  * renewed once the main loop has not shown for a while that it goes on.
  */
 public final class GrantKeeper {
-  private static final Duration INTERVAL = Duration.ofMillis(550);
+  /** How often a leader's grant is renewed: four times within the shortest one. */
+  static final Duration INTERVAL = Duration.ofMillis(550);
 
   private final Loop own;
   private final Loop home;
--- /dev/null
+++ b/src/test/java/io/pearscale/cli/UpgradeCommandTest.java
@@ -0,0 +1,126 @@
+package io.pearscale.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.transport.HttpServer;
+import io.pearscale.transport.MessagePack;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.xnio.XnioWorker;
+import picocli.CommandLine;
+
+/** The command that operators run before they install another build, against a state service. */
+class UpgradeCommandTest {
+  @TempDir Path folder;
+  private final WarmUpServices services = new WarmUpServices();
+  private final StringWriter out = new StringWriter();
+  private final StringWriter err = new StringWriter();
+  private XnioWorker worker;
+  private HttpServer server;
+  private Path settings;
+
+  @BeforeEach
+  void start() throws IOException {
+    int port;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = free.getLocalPort();
+    }
+    worker = Server.oneThread();
+    server =
+        new HttpServer(
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+            worker,
+            new DefaultByteBufferPool(false, 8192, 8, 0),
+            8,
+            path -> false,
+            services::handle);
+    server.start();
+    settings = folder.resolve("settings.toml");
+    Files.writeString(settings, SettingsTest.settings(1, 2, 3, port));
+  }
+
+  @AfterEach
+  void stop() {
+    server.stop();
+    worker.shutdownNow();
+  }
+
+  private int status(String... more) {
+    CommandLine line = new CommandLine(new UpgradeCommand());
+    line.setOut(new PrintWriter(out, true));
+    line.setErr(new PrintWriter(err, true));
+    String[] args = new String[3 + more.length];
+    args[0] = "status";
+    args[1] = "--config";
+    args[2] = settings.toString();
+    System.arraycopy(more, 0, args, 3, more.length);
+    return line.execute(args);
+  }
+
+  private void store(String key, JsonNode value) {
+    ObjectNode body = MessagePack.map();
+    body.putArray("then").addObject().put("write", key).set("value", value);
+    services.handle("POST", "/commit", Optional.of(body), response -> {});
+  }
+
+  @Test
+  void aClusterWithoutALevel() {
+    store("c/lead", MessagePack.map().put("node", "hive-1"));
+    store("c/term", MessagePack.map().put("term", 12));
+    assertEquals(0, status());
+    String text = out.toString();
+    assertTrue(text.contains("level in force   0 (none stored)"), text);
+    assertTrue(text.contains("takes part       yes"), text);
+    assertTrue(text.contains("leader           hive-1"), text);
+    assertTrue(text.contains("term             12"), text);
+  }
+
+  @Test
+  void aLevelThatThisBuildDoesNotSupport() throws IOException {
+    store("c/level", MessagePack.map().put("level", 7));
+    assertEquals(UpgradeCommand.EXIT_MUST_STAY_OUT, status("--json"));
+    JsonNode answer = new ObjectMapper().readTree(out.toString());
+    assertEquals("7", answer.path("levelInForce").asText());
+    assertEquals(false, answer.path("takesPart").asBoolean(true));
+    assertEquals(
+        "the stored state is at level 7, this build supports 0", answer.path("reason").asText());
+  }
+
+  @Test
+  void aLevelThatCantBeRead() {
+    store("c/level", MessagePack.map().put("level", "new"));
+    assertEquals(UpgradeCommand.EXIT_MUST_STAY_OUT, status());
+    assertTrue(out.toString().contains("takes part       no: the level of the stored state"));
+  }
+
+  @Test
+  void aStateServiceThatDoesNotAnswer() {
+    server.stop();
+    assertEquals(Main.EXIT_FAILURE, status());
+    assertEquals("", out.toString());
+    assertTrue(err.toString().contains("does not answer"), err.toString());
+  }
+
+  @Test
+  void settingsThatAreNone() throws IOException {
+    Files.writeString(settings, "host_name = 7");
+    assertEquals(Main.EXIT_SETTINGS, status());
+    assertTrue(err.toString().startsWith("pearscale: "), err.toString());
+  }
+}
