Talk to controllers of a later release that still speak our version

Need: a release that adds records between controllers would name two versions, and this one would have cut the link: no relayed reports, no words of peers, until the last controller is replaced.

Change: `PeerVersions`. A greeting names one version, as before, or a range; links hold where the ranges overlap. This build names one, so that nothing changes between controllers of it.

--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -2,7 +2,7 @@
 
 import io.pearscale.bookkeeping.Controller;
 import io.pearscale.bookkeeping.Tuning;
-import io.pearscale.protocol.PeerMessage;
+import io.pearscale.protocol.PeerVersions;
 import io.pearscale.protocol.Settings;
 import io.pearscale.transport.HttpCalls;
 import io.pearscale.transport.HttpServer;
@@ -59,7 +59,8 @@
             loop,
             worker,
             settings.host(),
-            "pearscale/" + PeerMessage.VERSION,
+            PeerVersions.OF_THIS_BUILD.greeting(),
+            PeerVersions.OF_THIS_BUILD::accepts,
             settings.peers(),
             new Links.Receiver() {
               @Override
--- a/src/main/java/io/pearscale/protocol/PeerMessage.java
+++ b/src/main/java/io/pearscale/protocol/PeerMessage.java
@@ -12,7 +12,7 @@
 
 /** What controllers say to each other, as {@code DataOutputStream} records. */
 public sealed interface PeerMessage {
-  /** The record format; controllers of another version are not talked to. */
+  /** The record format, see {@link PeerVersions}. */
   int VERSION = 3;
 
   /**
--- a/src/main/java/io/pearscale/transport/PeerLinks.java
+++ b/src/main/java/io/pearscale/transport/PeerLinks.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
@@ -29,7 +30,7 @@
  * connection that it dialled; what it accepted it only reads. So a broken direction shows on its
  * own, and a record from before a reconnect can't follow one from after it.
  *
- * <p>The first frame names version and sender; a frame that is too long, or a sender that is not a
+ * <p>The first frame names versions and sender; a frame that is too long, or a sender that is not a
  * configured peer, closes the connection: foreign or garbled bytes change nothing.
  */
 public final class PeerLinks implements Links {
@@ -45,7 +46,8 @@
   private final Loop loop;
   private final XnioWorker worker;
   private final String self;
-  private final String magic;
+  private final String greeting;
+  private final Predicate<String> accepted;
   private final Receiver receiver;
   private final Map<String, Peer> peers = new HashMap<>();
 
@@ -65,18 +67,25 @@
     }
   }
 
-  /** Prepares links; {@code magic} carries the version that both sides must share. */
+  /**
+   * Prepares links.
+   *
+   * @param greeting names the versions of records that this side understands
+   * @param accepted which greetings of the other side name a version that this one understands
+   */
   public PeerLinks(
       Loop loop,
       XnioWorker worker,
       String self,
-      String magic,
+      String greeting,
+      Predicate<String> accepted,
       Map<String, InetSocketAddress> addresses,
       Receiver receiver) {
     this.loop = loop;
     this.worker = worker;
     this.self = self;
-    this.magic = magic;
+    this.greeting = greeting;
+    this.accepted = accepted;
     this.receiver = receiver;
     addresses.forEach((name, address) -> peers.put(name, new Peer(name, address)));
   }
@@ -201,7 +210,7 @@
             });
     c.getSourceChannel().resumeReads();
     LOG.info("event=peer_link_up peer={}", p.name);
-    enqueue(p, (magic + " " + self).getBytes(StandardCharsets.UTF_8));
+    enqueue(p, (greeting + " " + self).getBytes(StandardCharsets.UTF_8));
     flush(p);
   }
 
@@ -304,7 +313,7 @@
       inBody = false;
       if (from == null) {
         String[] hello = new String(bytes, StandardCharsets.UTF_8).split(" ", 2);
-        if (hello.length != 2 || !hello[0].equals(magic) || !peers.containsKey(hello[1])) {
+        if (hello.length != 2 || !accepted.test(hello[0]) || !peers.containsKey(hello[1])) {
           LOG.warn("event=foreign_peer action=closed");
           throw new IOException("foreign peer");
         }
--- /dev/null
+++ b/src/test/java/io/pearscale/protocol/PeerVersionsTest.java
@@ -0,0 +1,47 @@
+package io.pearscale.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Which releases of controllers talk to each other. */
+class PeerVersionsTest {
+  @Test
+  void greetingsComeOutAsTheyWentIn() {
+    for (PeerVersions versions : List.of(new PeerVersions(3, 3), new PeerVersions(3, 12))) {
+      assertEquals(Optional.of(versions), PeerVersions.parse(versions.greeting()));
+    }
+    assertEquals("pearscale/3", new PeerVersions(3, 3).greeting());
+  }
+
+  @Test
+  void rangesThatOverlapTalk() {
+    PeerVersions old = new PeerVersions(3, 3);
+    assertTrue(old.accepts("pearscale/3"));
+    assertTrue(old.accepts("pearscale/2-4"));
+    assertTrue(old.accepts("pearscale/3-9"));
+    assertFalse(old.accepts("pearscale/4-9"));
+    assertFalse(old.accepts("pearscale/1-2"));
+  }
+
+  @Test
+  void whatIsNoGreeting() {
+    for (String text :
+        List.of(
+            "",
+            "pearscale/",
+            "pearscale/x",
+            "pearscale/4-3",
+            "pearscale/3-",
+            "other/3",
+            "pearscale/3 ",
+            "pearscale/-3",
+            "pearscale/99999999999")) {
+      assertEquals(Optional.empty(), PeerVersions.parse(text), text);
+    }
+  }
+}
