--- a/src/main/java/io/pearscale/cli/Commands.java
+++ b/src/main/java/io/pearscale/cli/Commands.java
@@ -1,7 +1,7 @@
 package io.pearscale.cli;
 
-import io.pearscale.bookkeeping.Tuning;
 import io.pearscale.protocol.Settings;
+import io.pearscale.scheduler.Tuning;
 import java.nio.file.Path;
 import java.util.Optional;
 import java.util.concurrent.Callable;
--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -1,9 +1,9 @@
 package io.pearscale.cli;
 
-import io.pearscale.bookkeeping.Controller;
-import io.pearscale.bookkeeping.Tuning;
 import io.pearscale.protocol.PeerVersions;
 import io.pearscale.protocol.Settings;
+import io.pearscale.scheduler.Controller;
+import io.pearscale.scheduler.Tuning;
 import io.pearscale.transport.HttpCalls;
 import io.pearscale.transport.HttpServer;
 import io.pearscale.transport.Links;
--- a/src/main/java/io/pearscale/bookkeeping/Fleet.java
+++ b/src/main/java/io/pearscale/scheduler/Fleet.java
@@ -1,11 +1,11 @@
-package io.pearscale.bookkeeping;
+package io.pearscale.scheduler;
 
-import io.pearscale.bookkeeping.Machine.Life;
-import io.pearscale.bookkeeping.Placement.Stage;
-import io.pearscale.bookkeeping.Renter.Kind;
 import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.Settings.Team;
+import io.pearscale.scheduler.Machine.Life;
+import io.pearscale.scheduler.Placement.Stage;
+import io.pearscale.scheduler.Renter.Kind;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
--- a/src/main/java/io/pearscale/bookkeeping/Headroom.java
+++ b/src/main/java/io/pearscale/scheduler/Headroom.java
@@ -1,4 +1,4 @@
-package io.pearscale.bookkeeping;
+package io.pearscale.scheduler;
 
 import java.util.ArrayList;
 import java.util.Collection;
--- a/src/main/java/io/pearscale/bookkeeping/Job.java
+++ b/src/main/java/io/pearscale/scheduler/Job.java
@@ -1,4 +1,4 @@
-package io.pearscale.bookkeeping;
+package io.pearscale.scheduler;
 
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.Priority;
--- a/src/main/java/io/pearscale/bookkeeping/Pacing.java
+++ b/src/main/java/io/pearscale/scheduler/Pacing.java
@@ -1,4 +1,4 @@
-package io.pearscale.bookkeeping;
+package io.pearscale.scheduler;
 
 import java.time.Duration;
 
--- a/src/main/java/io/pearscale/bookkeeping/Placer.java
+++ b/src/main/java/io/pearscale/scheduler/Placer.java
@@ -1,10 +1,10 @@
-package io.pearscale.bookkeeping;
+package io.pearscale.scheduler;
 
-import io.pearscale.bookkeeping.Machine.Room;
 import io.pearscale.protocol.Fields;
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.Settings.Team;
+import io.pearscale.scheduler.Machine.Room;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
--- a/src/main/java/io/pearscale/bookkeeping/Renter.java
+++ b/src/main/java/io/pearscale/scheduler/Renter.java
@@ -1,7 +1,7 @@
-package io.pearscale.bookkeeping;
+package io.pearscale.scheduler;
 
-import io.pearscale.bookkeeping.Machine.Room;
 import io.pearscale.protocol.MachineType;
+import io.pearscale.scheduler.Machine.Room;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
--- a/src/main/java/io/pearscale/bookkeeping/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -1,11 +1,7 @@
-package io.pearscale.bookkeeping;
+package io.pearscale.scheduler;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.pearscale.bookkeeping.CloudActor.Host;
-import io.pearscale.bookkeeping.Machine.Ended;
-import io.pearscale.bookkeeping.Machine.Life;
-import io.pearscale.bookkeeping.Placement.Stage;
 import io.pearscale.protocol.Fields;
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.MachineType;
@@ -19,6 +15,10 @@
 import io.pearscale.protocol.Settings;
 import io.pearscale.protocol.Settings.Team;
 import io.pearscale.protocol.TaskId;
+import io.pearscale.scheduler.CloudActor.Host;
+import io.pearscale.scheduler.Machine.Ended;
+import io.pearscale.scheduler.Machine.Life;
+import io.pearscale.scheduler.Placement.Stage;
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.Marks;
 import io.pearscale.storage.ReplicaActor.Entry;
--- a/src/main/java/io/pearscale/bookkeeping/Silence.java
+++ b/src/main/java/io/pearscale/scheduler/Silence.java
@@ -1,6 +1,6 @@
-package io.pearscale.bookkeeping;
+package io.pearscale.scheduler;
 
-import io.pearscale.bookkeeping.Machine.Life;
+import io.pearscale.scheduler.Machine.Life;
 import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
--- a/src/main/java/io/pearscale/bookkeeping/StopCommands.java
+++ b/src/main/java/io/pearscale/scheduler/StopCommands.java
@@ -1,9 +1,9 @@
-package io.pearscale.bookkeeping;
+package io.pearscale.scheduler;
 
-import io.pearscale.bookkeeping.Placement.Stage;
 import io.pearscale.protocol.Order;
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.Report.TaskReport;
+import io.pearscale.scheduler.Placement.Stage;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
--- a/src/main/java/io/pearscale/bookkeeping/StoredRecords.java
+++ b/src/main/java/io/pearscale/scheduler/StoredRecords.java
@@ -1,4 +1,4 @@
-package io.pearscale.bookkeeping;
+package io.pearscale.scheduler;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pearscale.protocol.Malformed;
--- a/src/test/java/io/pearscale/cli/SettingsTest.java
+++ b/src/test/java/io/pearscale/cli/SettingsTest.java
@@ -4,8 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.pearscale.bookkeeping.Tuning;
 import io.pearscale.protocol.Settings;
+import io.pearscale.scheduler.Tuning;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/test/java/io/pearscale/bookkeeping/PacingTest.java
+++ b/src/test/java/io/pearscale/scheduler/PacingTest.java
@@ -1,4 +1,4 @@
-package io.pearscale.bookkeeping;
+package io.pearscale.scheduler;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -2,14 +2,14 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.pearscale.bookkeeping.SchedulerActor;
-import io.pearscale.bookkeeping.Tuning;
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.Malformed;
 import io.pearscale.protocol.PeerMessage.LiveJobs;
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.ReportAnswer;
 import io.pearscale.protocol.Settings;
+import io.pearscale.scheduler.SchedulerActor;
+import io.pearscale.scheduler.Tuning;
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.Marks;
 import io.pearscale.storage.ReplicaActor.Entry;
--- a/src/test/java/io/pearscale/sim/SimNode.java
+++ b/src/test/java/io/pearscale/sim/SimNode.java
@@ -1,8 +1,8 @@
 package io.pearscale.sim;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.pearscale.bookkeeping.Controller;
-import io.pearscale.bookkeeping.Tuning;
+import io.pearscale.scheduler.Controller;
+import io.pearscale.scheduler.Tuning;
 import io.pearscale.transport.Calls;
 import io.pearscale.transport.Links;
 import io.pearscale.transport.Loop;
