Take the leader's transaction out of SchedulerActor

Need: the actor held how a transaction is put together, what it makes durable and how its values are encoded, in one method of eighty lines and three beside it.

Change: `LeaderTransaction` puts one together and says what it made durable; `JobPart` is a type of its own; a machine knows its roster entry; `Shards.due(item, when)` stands for the line that stood four times.

--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/LeaderTransaction.java
@@ -0,0 +1,212 @@
+package io.pearscale.scheduler;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.MachineType;
+import io.pearscale.storage.Keys;
+import io.pearscale.storage.Marks;
+import io.pearscale.storage.Roster;
+import io.pearscale.storage.StateClient.Change;
+import io.pearscale.storage.StateClient.Guard;
+import io.pearscale.transport.MessagePack;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * A leader's transaction while it is put together, and what it makes durable once it is applied.
+ * The caller adds what is most urgent first; what finds no room any more is left for the next one.
+ */
+final class LeaderTransaction {
+  /** Well below the 64 KiB that the state service takes. */
+  private static final int LARGEST_BODY = 40 * 1024;
+
+  /** What the term, its guard and the frame take. */
+  private static final int FRAME_SIZE = 512;
+
+  /** What a change takes beside its value. */
+  private static final int KEY_SIZE = 100;
+
+  /** What the end of a job takes: a guard, the live key's removal and the record of the end. */
+  private static final int END_SIZE = 400;
+
+  private static final int CHANGES_OF_AN_END = 2;
+
+  private final int mostChanges;
+  private final List<Guard> guards = new ArrayList<>();
+  private final List<Change> changes = new ArrayList<>();
+  private int size = FRAME_SIZE;
+
+  private final Set<Integer> rosters = new LinkedHashSet<>();
+  private final List<Roster.Entry> machines = new ArrayList<>();
+  private final Set<Integer> marks = new LinkedHashSet<>();
+  private final List<Placement> marked = new ArrayList<>();
+  private final Map<JobPart, BitSet> done = new HashMap<>();
+  private final List<Job> finished = new ArrayList<>();
+  private final List<String> dropped = new ArrayList<>();
+  private boolean catalogue;
+
+  /**
+   * Begins with the term, whose key changes with each transaction: one that comes late finds
+   * another stamp and can't put old progress over new.
+   *
+   * @param termStamp the stamp of the term's key after the transaction before
+   * @param number how many this term has had
+   */
+  LeaderTransaction(int mostChanges, long term, long termStamp, long number) {
+    this.mostChanges = mostChanges;
+    guards.add(new Guard(Keys.TERM, termStamp));
+    changes.add(Change.write(Keys.TERM, MessagePack.map().put("term", term).put("commit", number)));
+  }
+
+  /** Whether another value can go along. */
+  boolean hasRoom() {
+    return changes.size() < mostChanges && size < LARGEST_BODY;
+  }
+
+  /** Whether the end of another job can go along. */
+  boolean hasRoomForEnd() {
+    return changes.size() + CHANGES_OF_AN_END <= mostChanges && size <= LARGEST_BODY;
+  }
+
+  /** Whether another removal can go along, which takes next to nothing of the body. */
+  boolean hasRoomForRemoval() {
+    return changes.size() < mostChanges;
+  }
+
+  /** Whether it carries nothing but the term. */
+  boolean isEmpty() {
+    return changes.size() == 1;
+  }
+
+  /** Adds the catalogue, unless it is longer than a value may be. */
+  void addCatalogue(Collection<MachineType> types, int longest) {
+    catalogue = true;
+    ObjectNode body = MessagePack.map();
+    var list = body.putArray("breeds");
+    types.forEach(type -> list.add(type.toNode()));
+    int length = body.toString().length();
+    if (length < longest) {
+      changes.add(Change.write(Keys.CATALOGUE, body));
+      size += length;
+    }
+  }
+
+  /** Adds a value of the roster. */
+  void addRoster(int number, Shards<Machine> roster) {
+    List<Roster.Entry> entries = new ArrayList<>();
+    roster.items(number).forEach((place, machine) -> entries.add(machine.rosterEntry(place)));
+    rosters.add(number);
+    machines.addAll(entries);
+    write(Keys.roster(number), Roster.encode(entries));
+    size += entries.stream().mapToInt(Roster::size).sum();
+    roster.sent(number);
+  }
+
+  /** Adds a value of marks, which name machines by their places in the roster. */
+  void addMarks(int number, Shards<JobPart> parts, Shards<Machine> roster) {
+    List<Marks.Part> encoded = new ArrayList<>();
+    parts.items(number).values().forEach(part -> encoded.add(marksOf(part, roster)));
+    marks.add(number);
+    JsonNode value = Marks.encode(encoded);
+    write(Keys.marks(number), value);
+    size += Marks.length(value);
+    parts.sent(number);
+  }
+
+  private Marks.Part marksOf(JobPart part, Shards<Machine> roster) {
+    Job job = part.job();
+    int first = part.part() * Marks.PART;
+    int[] hosts = new int[Math.min(Marks.PART, job.spec.tasks() - first)];
+    for (Placement placement : job.placed.values()) {
+      int index = placement.task.index() - first;
+      Optional<Shards.Home> home = roster.home(placement.machine);
+      if (index >= 0 && index < hosts.length && home.isPresent()) {
+        hosts[index] = Marks.host(home.get().shard(), home.get().place(), Shards.PLACES);
+        if (!placement.marked) {
+          marked.add(placement);
+        }
+      }
+    }
+    BitSet doneTasks = job.doneOf(part.part());
+    done.put(part, doneTasks);
+    return new Marks.Part(job.spec.id(), part.part(), doneTasks, hosts, job.claim());
+  }
+
+  /** Adds the end of a job whose tasks are all done; a cancel that was faster refuses the whole. */
+  void addEnd(Job job) {
+    String id = job.spec.id();
+    guards.add(new Guard(Keys.live(id), job.stamp));
+    changes.add(Change.drop(Keys.live(id)));
+    changes.add(
+        Change.write(
+            Keys.past(id), MessagePack.map().put("stage", "done").put("pieces", job.spec.tasks())));
+    finished.add(job);
+    size += END_SIZE;
+  }
+
+  /** Adds the removal of a value in which nothing lives any more. */
+  void addRemoval(String key) {
+    changes.add(Change.drop(key));
+    dropped.add(key);
+  }
+
+  private void write(String key, JsonNode value) {
+    changes.add(Change.write(key, value));
+    size += KEY_SIZE;
+  }
+
+  List<Guard> guards() {
+    return guards;
+  }
+
+  List<Change> changes() {
+    return changes;
+  }
+
+  /** Whether it was to carry the catalogue. */
+  boolean hasCatalogue() {
+    return catalogue;
+  }
+
+  /** The values of the roster that it writes. */
+  Set<Integer> rosters() {
+    return rosters;
+  }
+
+  /** The machines that are named in them. */
+  List<Roster.Entry> machines() {
+    return machines;
+  }
+
+  /** The values of marks that it writes. */
+  Set<Integer> marks() {
+    return marks;
+  }
+
+  /** Placements whose machine is named for the first time. */
+  List<Placement> marked() {
+    return marked;
+  }
+
+  /** Tasks that are done, by part of their job. */
+  Map<JobPart, BitSet> done() {
+    return done;
+  }
+
+  /** Jobs that it ends. */
+  List<Job> finished() {
+    return finished;
+  }
+
+  /** Keys that it removes. */
+  List<String> dropped() {
+    return dropped;
+  }
+}
--- a/src/main/java/io/pearscale/scheduler/Machine.java
+++ b/src/main/java/io/pearscale/scheduler/Machine.java
@@ -3,6 +3,7 @@
 import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.TaskId;
+import io.pearscale.storage.Roster;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -131,6 +132,12 @@
     this.address = "";
   }
 
+  /** What the roster is to say of the machine, at that place. */
+  Roster.Entry rosterEntry(int place) {
+    return new Roster.Entry(
+        place, name, address, type.name(), zone, spot, session, life == Life.RETIRING);
+  }
+
   /** A task failed here. */
   void noteFailure(Job job) {
     failures.merge(job, 1, Integer::sum);
--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -25,8 +25,6 @@
 import io.pearscale.storage.ReplicaActor.KeyChange;
 import io.pearscale.storage.Roster;
 import io.pearscale.storage.StateClient;
-import io.pearscale.storage.StateClient.Change;
-import io.pearscale.storage.StateClient.Guard;
 import io.pearscale.transport.Actor;
 import io.pearscale.transport.Calls;
 import io.pearscale.transport.Calls.Reply;
@@ -38,7 +36,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -83,12 +80,8 @@
 
   private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
   private static final Duration LEISURE = Duration.ofSeconds(4);
-  private static final int BODY_LIMIT = 40 * 1024;
   private static final int SHARED_VALUE = 6000;
 
-  /** What a change takes of a transaction's size beside its value. */
-  private static final int KEY_SIZE = 100;
-
   private static final Duration DIRECT_PAUSE = Duration.ofSeconds(3);
   private static final int LEASES_OF_A_CUT = 10;
 
@@ -141,7 +134,8 @@
 
   private record TryCommit(long term) implements Message {}
 
-  private record Committed(long term, Batch batch, Reply reply) implements Message {}
+  private record Committed(long term, LeaderTransaction transaction, Reply reply)
+      implements Message {}
 
   private record TermRead(long term, Reply reply) implements Message {}
 
@@ -150,30 +144,6 @@
 
   private record CloudSaid(CloudActor.Event event) implements Message {}
 
-  /** What one transaction carries, to be noted as durable when it has been applied. */
-  private record Batch(
-      Set<Integer> rosters,
-      List<Roster.Entry> hosts,
-      Set<Integer> marks,
-      List<Placement> marked,
-      Map<Part, BitSet> done,
-      List<Job> finished,
-      List<String> dropped,
-      boolean catalogue) {}
-
-  /** Marks of a job are kept in parts. */
-  private record Part(Job job, int part) {
-    @Override
-    public boolean equals(Object other) {
-      return other instanceof Part o && part == o.part && job == o.job;
-    }
-
-    @Override
-    public int hashCode() {
-      return 31 * job.hashCode() + part;
-    }
-  }
-
   private final StateClient state;
   private final Calls calls;
   private final Settings settings;
@@ -224,7 +194,7 @@
   /** Machines that something is to be told to. */
   private final Set<Machine> eager = new LinkedHashSet<>();
 
-  private Shards<Part> marks;
+  private Shards<JobPart> marks;
   private Shards<Machine> roster;
 
   /** Machines of the roster that were not asked since the takeover. */
@@ -347,7 +317,7 @@
       commitPlanned = false;
       commit();
     } else if (message instanceof Committed m && leading && m.term == term) {
-      committed(m.batch, m.reply);
+      committed(m.transaction, m.reply);
     } else if (message instanceof TermRead m && leading && m.term == term) {
       termRead(m.reply);
     } else if (message instanceof Done m && leading && m.term == term) {
@@ -492,7 +462,7 @@
   /** The marks of a job need no room any more. */
   private void letGo(Job job) {
     for (int p = 0; p < job.parts(); p++) {
-      marks.remove(new Part(job, p));
+      marks.remove(new JobPart(job, p));
     }
   }
 
@@ -648,7 +618,8 @@
     int first = p.part() * Marks.PART;
     p.done().stream().filter(i -> first + i < j.spec.tasks()).forEach(i -> j.done.set(first + i));
     j.noteDurable(p.part(), p.done());
-    marks.adopt(new Part(j, p.part()), j.marksSize(p.part()), value);
+    JobPart part = new JobPart(j, p.part());
+    marks.adopt(part, part.marksSize(), value);
     for (int i = 0; i < p.hosts().length && first + i < j.spec.tasks(); i++) {
       Machine m = numbered.get(p.hosts()[i]);
       if (m != null && !j.done.get(first + i)) {
@@ -803,7 +774,7 @@
     }
     if (m.recorded && !m.recordedAddress.equals(m.address)) {
       m.recordedAddress = m.address;
-      roster.home(m).ifPresent(h -> roster.due(h.shard(), now.plus(LEISURE)));
+      roster.due(m, now.plus(LEISURE));
     }
     if (!m.everReported) {
       m.everReported = true;
@@ -963,9 +934,9 @@
             planCommit();
           } else {
             // Until it is written, the worker goes on to show it: there is no hurry.
-            Part part = partOf(job, t.task().index());
-            marks.put(part, job.marksSize(part.part));
-            marks.home(part).ifPresent(h -> marks.due(h.shard(), now().plus(LEISURE)));
+            JobPart part = JobPart.of(job, t.task().index());
+            marks.put(part, part.marksSize());
+            marks.due(part, now().plus(LEISURE));
           }
         }
       }
@@ -1102,41 +1073,25 @@
     m.token++;
   }
 
-  private static Part partOf(Job job, int index) {
-    return new Part(job, index / Marks.PART);
-  }
-
   /** The machine of the placement is to be named in the task's mark, and in the roster. */
   private void mark(Placement p) {
-    Part part = partOf(p.job, p.task.index());
+    JobPart part = JobPart.of(p.job, p.task.index());
     enroll(p.machine);
     if (!p.machine.recorded) {
       roster.due(p.machine);
     }
-    marks.put(part, p.job.marksSize(part.part));
+    marks.put(part, part.marksSize());
     marks.due(part);
     planCommit();
   }
 
   private void enroll(Machine m) {
-    roster.put(m, Roster.size(rosterEntry(m, 0)));
-  }
-
-  private static Roster.Entry rosterEntry(Machine m, int place) {
-    return new Roster.Entry(
-        place,
-        m.name,
-        m.address,
-        m.type.name(),
-        m.zone,
-        m.spot,
-        m.session,
-        m.life == Life.RETIRING);
+    roster.put(m, Roster.size(m.rosterEntry(0)));
   }
 
   /** The machine is gone, or nothing can be alive on it: the roster need not name it any more. */
   private void strike(Machine m) {
-    roster.home(m).ifPresent(h -> roster.due(h.shard(), now().plus(LEISURE)));
+    roster.due(m, now().plus(LEISURE));
     roster.remove(m);
     m.recorded = false;
     m.recordedRetiring = false;
@@ -1559,143 +1514,87 @@
     if (committing || !ready) {
       return;
     }
-    int most = settings.stateLimits().txnOps();
-    List<Guard> guards = new ArrayList<>();
-    List<Change> changes = new ArrayList<>();
-    Batch batch =
-        new Batch(
-            new LinkedHashSet<>(),
-            new ArrayList<>(),
-            new LinkedHashSet<>(),
-            new ArrayList<>(),
-            new HashMap<>(),
-            new ArrayList<>(),
-            new ArrayList<>(),
-            catalogueDirty && !types.isEmpty());
-    guards.add(new Guard(Keys.TERM, termStamp));
-    // The term's key changes each time: a transaction that comes late finds another stamp and
-    // can't put old progress over new.
-    changes.add(
-        Change.write(Keys.TERM, MessagePack.map().put("term", term).put("commit", ++commits)));
-    int size = 512;
-    if (batch.catalogue) {
-      ObjectNode body = MessagePack.map();
-      var list = body.putArray("breeds");
-      types.values().forEach(t -> list.add(t.toNode()));
-      if (body.toString().length() < settings.stateLimits().valueBytes()) {
-        changes.add(Change.write(Keys.CATALOGUE, body));
-        size += body.toString().length();
-      }
-    }
-    // First what waiting tasks need, then what users wait to hear, then what can wait.
-    for (int n : roster.urgent()) {
-      if (changes.size() < most && size < BODY_LIMIT) {
-        size += writeRoster(n, changes, batch);
-      }
-    }
-    for (int n : marks.urgent()) {
-      if (changes.size() < most && size < BODY_LIMIT) {
-        size += writeMarks(n, changes, batch);
-      }
+    LeaderTransaction transaction = nextTransaction();
+    if (transaction.isEmpty() && !beat) {
+      return;
+    }
+    beat = false;
+    committing = true;
+    lastCommit = now();
+    lastChanges = transaction.changes().size();
+    long t = term;
+    state.commit(
+        transaction.guards(),
+        transaction.changes(),
+        reply -> tell(new Committed(t, transaction, reply)));
+  }
+
+  /** First what waiting tasks need, then what users wait to hear, then what can wait. */
+  private LeaderTransaction nextTransaction() {
+    LeaderTransaction transaction =
+        new LeaderTransaction(settings.stateLimits().txnOps(), term, termStamp, ++commits);
+    if (catalogueDirty && !types.isEmpty()) {
+      transaction.addCatalogue(types.values(), settings.stateLimits().valueBytes());
     }
+    writeRosters(roster.urgent(), transaction);
+    writeMarks(marks.urgent(), transaction);
     for (Job j : finishing) {
-      if (changes.size() + 2 > most || size > BODY_LIMIT) {
+      if (!transaction.hasRoomForEnd()) {
         break;
       }
-      guards.add(new Guard(Keys.live(j.spec.id()), j.stamp));
-      changes.add(Change.drop(Keys.live(j.spec.id())));
-      changes.add(
-          Change.write(
-              Keys.past(j.spec.id()),
-              MessagePack.map().put("stage", "done").put("pieces", j.spec.tasks())));
-      batch.finished.add(j);
-      size += 400;
+      transaction.addEnd(j);
     }
     Instant now = now();
-    for (int n : roster.overdue(now)) {
-      if (changes.size() < most && size < BODY_LIMIT) {
-        size += writeRoster(n, changes, batch);
+    writeRosters(roster.overdue(now), transaction);
+    writeMarks(marks.overdue(now), transaction);
+    removeGarbage(transaction);
+    return transaction;
+  }
+
+  private void writeRosters(List<Integer> numbers, LeaderTransaction transaction) {
+    for (int n : numbers) {
+      if (transaction.hasRoom()) {
+        transaction.addRoster(n, roster);
+        garbage.remove(Keys.roster(n));
       }
     }
-    for (int n : marks.overdue(now)) {
-      if (changes.size() < most && size < BODY_LIMIT) {
-        size += writeMarks(n, changes, batch);
+  }
+
+  private void writeMarks(List<Integer> numbers, LeaderTransaction transaction) {
+    for (int n : numbers) {
+      if (transaction.hasRoom()) {
+        transaction.addMarks(n, marks, roster);
+        garbage.remove(Keys.marks(n));
       }
     }
-    for (Iterator<String> it = garbage.iterator(); it.hasNext() && changes.size() < most; ) {
+  }
+
+  private void removeGarbage(LeaderTransaction transaction) {
+    for (Iterator<String> it = garbage.iterator();
+        it.hasNext() && transaction.hasRoomForRemoval(); ) {
       String key = it.next();
       boolean reused =
           Keys.isMarks(key) ? !marks.isEmpty(Keys.number(key)) : !roster.isEmpty(Keys.number(key));
       if (reused) {
         it.remove();
       } else {
-        changes.add(Change.drop(key));
-        batch.dropped.add(key);
+        transaction.addRemoval(key);
       }
     }
-    if (changes.size() == 1 && !beat) {
-      return;
-    }
-    beat = false;
-    committing = true;
-    lastCommit = now;
-    lastChanges = changes.size();
-    long t = term;
-    state.commit(guards, changes, reply -> tell(new Committed(t, batch, reply)));
-  }
-
-  private int writeRoster(int n, List<Change> changes, Batch batch) {
-    List<Roster.Entry> entries = new ArrayList<>();
-    roster.items(n).forEach((place, m) -> entries.add(rosterEntry(m, place)));
-    batch.rosters.add(n);
-    batch.hosts.addAll(entries);
-    write(roster, n, Keys.roster(n), Roster.encode(entries), changes);
-    return entries.stream().mapToInt(Roster::size).sum() + KEY_SIZE;
-  }
-
-  private int writeMarks(int n, List<Change> changes, Batch batch) {
-    List<Marks.Part> parts = new ArrayList<>();
-    for (Part part : marks.items(n).values()) {
-      int first = part.part * Marks.PART;
-      int[] hosts = new int[Math.min(Marks.PART, part.job.spec.tasks() - first)];
-      for (Placement p : part.job.placed.values()) {
-        int i = p.task.index() - first;
-        Optional<Shards.Home> home = roster.home(p.machine);
-        if (i >= 0 && i < hosts.length && home.isPresent()) {
-          hosts[i] = Marks.host(home.get().shard(), home.get().place(), Shards.PLACES);
-          if (!p.marked) {
-            batch.marked.add(p);
-          }
-        }
-      }
-      BitSet done = part.job.doneOf(part.part);
-      batch.done.put(part, done);
-      parts.add(new Marks.Part(part.job.spec.id(), part.part, done, hosts, part.job.claim()));
-    }
-    batch.marks.add(n);
-    JsonNode value = Marks.encode(parts);
-    write(marks, n, Keys.marks(n), value, changes);
-    return Marks.length(value) + KEY_SIZE;
-  }
-
-  private void write(Shards<?> from, int n, String key, JsonNode value, List<Change> changes) {
-    from.sent(n);
-    garbage.remove(key);
-    changes.add(Change.write(key, value));
   }
 
-  private void committed(Batch b, Reply reply) {
+  private void committed(LeaderTransaction transaction, Reply reply) {
     if (reply.ok()) {
       committing = false;
       termStamp = reply.body().path("epoch").asLong(termStamp);
-      applied(b);
+      applied(transaction);
       if (workToWrite()) {
         planCommit();
       }
       return;
     }
-    b.rosters.forEach(roster::due);
-    b.marks.forEach(marks::due);
+    transaction.rosters().forEach(roster::due);
+    transaction.marks().forEach(marks::due);
     List<String> failed = reply.status() == 409 ? StateClient.failedGuards(reply) : List.of();
     if (failed.contains(Keys.LEVEL) && !failed.contains(Keys.TERM)) {
       // The level of stored forms was switched: the watch says whether this build supports it.
@@ -1707,7 +1606,7 @@
     if (reply.status() == 409 && !failed.contains(Keys.TERM)) {
       // Somebody was faster with these jobs, by cancelling them; the watch brings the news.
       committing = false;
-      for (Job j : b.finished) {
+      for (Job j : transaction.finished()) {
         if (failed.contains(Keys.live(j.spec.id()))) {
           finishing.remove(j);
         }
@@ -1765,10 +1664,10 @@
         || !marks.overdue(now).isEmpty();
   }
 
-  private void applied(Batch b) {
-    b.marked.forEach(p -> p.marked = true);
-    b.done.forEach((part, bits) -> part.job.noteDurable(part.part, bits));
-    for (Roster.Entry e : b.hosts) {
+  private void applied(LeaderTransaction transaction) {
+    transaction.marked().forEach(p -> p.marked = true);
+    transaction.done().forEach((part, bits) -> part.job().noteDurable(part.part(), bits));
+    for (Roster.Entry e : transaction.machines()) {
       Machine m = machines.get(e.machine());
       if (m != null && roster.home(m).isPresent()) {
         m.recorded = true;
@@ -1776,7 +1675,7 @@
         m.recordedAddress = e.address();
       }
     }
-    for (Job j : b.finished) {
+    for (Job j : transaction.finished()) {
       jobs.remove(j.spec.id());
       over(j);
       j.durableDone.or(j.done);
@@ -1789,8 +1688,8 @@
         doom(p);
       }
     }
-    b.dropped.forEach(garbage::remove);
-    if (b.catalogue) {
+    transaction.dropped().forEach(garbage::remove);
+    if (transaction.hasCatalogue()) {
       catalogueDirty = false;
     }
     dispatchAll();
@@ -2135,7 +2034,7 @@
           machines.put(name, m);
           // Long before its first start, which need not wait for it then.
           enroll(m);
-          roster.home(m).ifPresent(h -> roster.due(h.shard(), now.plusSeconds(1)));
+          roster.due(m, now.plusSeconds(1));
         }
       }
       log.info("event=rented term={} kind={} count={}", term, e.kind(), e.names().size());
--- a/src/main/java/io/pearscale/scheduler/Shards.java
+++ b/src/main/java/io/pearscale/scheduler/Shards.java
@@ -115,6 +115,11 @@
     later.remove(shard);
   }
 
+  /** The item's value is to be written at that time at the latest. */
+  void due(T item, Instant when) {
+    home(item).ifPresent(h -> due(h.shard, when));
+  }
+
   /** The value is to be written at that time at the latest. */
   void due(int shard, Instant when) {
     if (!urgent.contains(shard)) {
