Check that nothing starts long after a confirmed cancel

Need: users count starts after a confirmed cancellation; the simulated world's checker noted them only past cancel_s.

--- a/src/test/java/io/pearscale/sim/CancelRunsTest.java
+++ b/src/test/java/io/pearscale/sim/CancelRunsTest.java
@@ -45,7 +45,8 @@
   }
 
   private static boolean isRule(String failure) {
-    return failure.matches("(ran_\\w+|quota|wrong_place|forgotten|went_back|not_done) at .*");
+    return failure.matches(
+        "(ran_\\w+|started_cancelled|quota|wrong_place|forgotten|went_back|not_done) at .*");
   }
 
   /** The checker itself: a worker that ignores one stop command is found out. */
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -361,11 +361,23 @@
     if (u != null && u.cancelledAt != null && now.isAfter(u.cancelledAt.plus(cancel))) {
       breaks("ran_cancelled", task + " starts");
     }
+    if (u != null && u.cancelledAt != null && now.isAfter(u.cancelledAt.plus(lateStart()))) {
+      breaks("started_cancelled", task + " on " + w.name);
+    }
     starts.merge(task.job(), 1, Integer::sum);
     begun.putIfAbsent(task.job(), now);
     present.add(new Presence(w, task, attempt));
   }
 
+  /**
+   * For how long after a confirmed cancel a start that was under way may still take effect: a
+   * leader starts nothing on knowledge older than half of its hold, and a machine learns within an
+   * answer or a command that what is held up on its way counts no more.
+   */
+  private Duration lateStart() {
+    return settings("hive-0").hold().dividedBy(2).plusSeconds(5);
+  }
+
   void taskGone(SimWorker w, TaskId task, long attempt) {
     present.removeIf(p -> p.worker == w && p.task.equals(task) && p.attempt == attempt);
   }
