--- a/src/test/java/io/pearscale/cli/LoopbackTest.java
+++ b/src/test/java/io/pearscale/cli/LoopbackTest.java
@@ -174,14 +174,18 @@
     assertEquals(503, send("POST", "/checkin", MessagePack.encode(report)).statusCode());
   }
 
+  private static void greet(Socket socket, String greeting) throws IOException {
+    byte[] hello = greeting.getBytes(StandardCharsets.UTF_8);
+    socket.getOutputStream().write(new byte[] {0, 0, 0, (byte) hello.length});
+    socket.getOutputStream().write(hello);
+    socket.getOutputStream().flush();
+  }
+
   @Test
   void aPeerOfALaterReleaseThatSpeaksOurVersionIsHeard() throws Exception {
     try (Socket s = new Socket(InetAddress.getLoopbackAddress(), back)) {
+      greet(s, "pearscale/2-9 hive-1");
       s.setSoTimeout(500);
-      byte[] hello = "pearscale/2-9 hive-1".getBytes(StandardCharsets.UTF_8);
-      s.getOutputStream().write(new byte[] {0, 0, 0, (byte) hello.length});
-      s.getOutputStream().write(hello);
-      s.getOutputStream().flush();
       assertThrows(
           SocketTimeoutException.class, () -> s.getInputStream().read(), "the link is closed");
     }
@@ -190,11 +194,8 @@
   @Test
   void aForeignPeerIsCutOff() throws Exception {
     try (Socket s = new Socket(InetAddress.getLoopbackAddress(), back)) {
+      greet(s, "pearscale/4-9 hive-1");
       s.setSoTimeout(3000);
-      byte[] hello = "pearscale/4-9 hive-1".getBytes(StandardCharsets.UTF_8);
-      s.getOutputStream().write(new byte[] {0, 0, 0, (byte) hello.length});
-      s.getOutputStream().write(hello);
-      s.getOutputStream().flush();
       assertEquals(-1, s.getInputStream().read(), "a peer of another version");
     }
     try (Socket s = new Socket(InetAddress.getLoopbackAddress(), back)) {
--- a/src/test/java/io/pearscale/sim/ElectionTest.java
+++ b/src/test/java/io/pearscale/sim/ElectionTest.java
@@ -85,6 +85,17 @@
     assertEquals(List.of(), told);
   }
 
+  /** One that leads and asks its peers, since the state service answers nobody any more. */
+  private ElectionActor leaderWithoutStateService() {
+    ElectionActor election = election();
+    election.tell(new ElectionActor.Loaded(Map.of()));
+    play(500);
+    out = true;
+    play(2500);
+    told.clear();
+    return election;
+  }
+
   private void word(ElectionActor election, String peer, long question, String... cancelled) {
     election.tell(
         new ElectionActor.Vouched(peer, question, 1, List.of(cancelled), Optional.empty()));
@@ -93,14 +104,9 @@
 
   @Test
   void onlyAllWordsToOneQuestionExtendTheProof() {
-    ElectionActor election = election();
-    election.tell(new ElectionActor.Loaded(Map.of()));
-    play(500);
-    out = true;
-    play(2500);
+    ElectionActor election = leaderWithoutStateService();
     int last = questions.size() - 1;
     assertTrue(last >= 1, "the leader asked " + questions.size() + " times");
-    told.clear();
     long before = questions.get(last - 1);
     long question = questions.get(last);
     word(election, "hive-0", before);
@@ -115,12 +121,7 @@
 
   @Test
   void aWordOfANewerTermDeposes() {
-    ElectionActor election = election();
-    election.tell(new ElectionActor.Loaded(Map.of()));
-    play(500);
-    out = true;
-    play(2500);
-    told.clear();
+    ElectionActor election = leaderWithoutStateService();
     long question = questions.get(questions.size() - 1);
     word(election, "hive-0", question);
     word(election, "hive-1", question);
