Write nothing under a level that this build does not support

Cause: a write took the level's stamp when it was sent. One that was decided before a switch and sent after it, by a controller of the old build that had just learned of the switch, went out in the old form with the new level's stamp, and was applied.

Change: the gate gives a stamp for writes only while the build supports the level; without one a write is answered 503 in place and not sent.

--- a/src/main/java/io/pearscale/scheduler/Controller.java
+++ b/src/main/java/io/pearscale/scheduler/Controller.java
@@ -99,7 +99,7 @@
     this.settings = settings;
     this.links = links;
     this.level = new LevelGate(supported);
-    this.state = new StateClient(loop, calls, settings, level::stamp);
+    this.state = new StateClient(loop, calls, settings, level::writeStamp);
     this.replica = new ReplicaActor(loop, state, random);
     this.api =
         new ApiActor(
--- a/src/main/java/io/pearscale/storage/StateClient.java
+++ b/src/main/java/io/pearscale/storage/StateClient.java
@@ -12,8 +12,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Speaks to the state service within this controller's part of the rates. What would go over is
@@ -23,25 +24,29 @@
   private static final Duration QUICK = Duration.ofMillis(1500);
   private static final Reply LIMITED = new Reply(429, MessagePack.MISSING);
 
+  /** What a write is answered that this build must not make; it was not sent. */
+  private static final Reply NOT_ALLOWED = new Reply(503, MessagePack.MISSING);
+
   private final Loop loop;
   private final Calls calls;
   private final String address;
   private final Budget requests;
   private final Budget writes;
-  private final LongSupplier levelStamp;
+  private final Supplier<OptionalLong> levelStamp;
   private Optional<Instant> lastGood = Optional.empty();
 
   /** Uses the service named in the settings, for writes only where no level was ever stored. */
   public StateClient(Loop loop, Calls calls, Settings settings) {
-    this(loop, calls, settings, () -> 0);
+    this(loop, calls, settings, () -> OptionalLong.of(0));
   }
 
   /**
    * Uses the service named in the settings.
    *
-   * @param levelStamp the stamp of {@link Keys#LEVEL} as far as known; guards each write
+   * @param levelStamp the stamp of {@link Keys#LEVEL} as far as known, which guards each write;
+   *     empty while this build must not write
    */
-  public StateClient(Loop loop, Calls calls, Settings settings, LongSupplier levelStamp) {
+  public StateClient(Loop loop, Calls calls, Settings settings, Supplier<OptionalLong> levelStamp) {
     this.levelStamp = levelStamp;
     this.loop = loop;
     this.calls = calls;
@@ -82,6 +87,11 @@
    * that this controller knows: whoever missed a switch must not write in the old form.
    */
   public void commit(List<Guard> guards, List<Change> changes, Consumer<Reply> answer) {
+    OptionalLong stamp = levelStamp.get();
+    if (stamp.isEmpty()) {
+      loop.execute(() -> answer.accept(NOT_ALLOWED));
+      return;
+    }
     if (!writes.take(changes.size())) {
       loop.execute(() -> answer.accept(LIMITED));
       return;
@@ -89,7 +99,7 @@
     ObjectNode body = MessagePack.map();
     var g = body.putArray("guards");
     guards.forEach(x -> g.addObject().put("key", x.key()).put("stamp", x.stamp()));
-    g.addObject().put("key", Keys.LEVEL).put("stamp", levelStamp.getAsLong());
+    g.addObject().put("key", Keys.LEVEL).put("stamp", stamp.getAsLong());
     var t = body.putArray("then");
     for (Change c : changes) {
       ObjectNode n = t.addObject();
--- a/src/main/java/io/pearscale/upgrade/LevelGate.java
+++ b/src/main/java/io/pearscale/upgrade/LevelGate.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pearscale.protocol.Malformed;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Decides from the stored level whether this controller may lead, write and speak for what is
@@ -32,9 +33,13 @@
     objection = judge(value);
   }
 
-  /** The stamp that guards what is written under the level known here. */
-  public long stamp() {
-    return stamp;
+  /**
+   * The stamp that guards what is written under the level known here; empty when nothing may be
+   * written under it. A write that was decided before a switch and is sent after it must neither go
+   * out with the old stamp, nor, since it has the old form, with the new one.
+   */
+  public OptionalLong writeStamp() {
+    return objection.isEmpty() ? OptionalLong.of(stamp) : OptionalLong.empty();
   }
 
   /** Why this controller must stay out; empty when it may take part. */
