Stop what is left of a cancelled job in every answer, also while it saves

Cause: a task that a new leader knows by its mark alone, of a job cancelled under a former one, counted as a victim that may save: while a report shows it saving, answers within 2 s of the last stop left the stop out and renewed its lease.

Change: what remains of a job that is over need not save (`hurried`), as when the leader hears of the cancel itself.

--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -638,7 +638,10 @@
   private void remainsFromMarks(Marks.Part p, Map<Integer, Machine> numbered, int value) {
     Job remains = Job.remains(p, p.claim().orElseThrow(), now());
     fromMarks(remains, p, numbered, value);
-    remains.placed.values().forEach(x -> x.doomed = true);
+    for (Placement placement : remains.placed.values()) {
+      placement.doomed = true;
+      placement.hurried = true;
+    }
     if (remains.placed.isEmpty()) {
       letGo(remains);
     }
