Find free ports in one place, and say what greetings with ranges promise

Read once more: three tests found a free port by the same lines; ElectionTest had a field that was never set; UpgradeCommandTest copied its arguments by hand; and the comment on PeerVersions promised that two controllers talk in the highest version that both understand, while this build sends its one version.

--- a/src/main/java/io/pearscale/protocol/PeerVersions.java
+++ b/src/main/java/io/pearscale/protocol/PeerVersions.java
@@ -7,8 +7,8 @@
 /**
  * The versions of records between controllers that a build understands, both ends included. A
  * controller names them when it connects: {@code pearscale/3}, or {@code pearscale/3-4} for more
- * than one. Two controllers talk in the highest version that both understand, so that a later
- * release can be installed on one host after the other.
+ * than one. Two controllers are linked where the ranges overlap; this build sends its one version,
+ * and a later release has to send it that one too.
  */
 public record PeerVersions(int lowest, int highest) {
   /** What this build understands. */
--- a/src/test/java/io/pearscale/cli/LoopbackTest.java
+++ b/src/test/java/io/pearscale/cli/LoopbackTest.java
@@ -11,7 +11,6 @@
 import io.pearscale.transport.MessagePack;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.net.URI;
@@ -38,18 +37,14 @@
   private final HttpClient http =
       HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
 
-  private static int freePort() throws IOException {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return s.getLocalPort();
-    }
-  }
-
   @BeforeAll
   static void start() throws Exception {
-    client = freePort();
-    back = freePort();
+    client = SettingsTest.freePort();
+    back = SettingsTest.freePort();
     Path file = folder.resolve("s.toml");
-    Files.writeString(file, SettingsTest.settings(client, back, freePort(), freePort()));
+    Files.writeString(
+        file,
+        SettingsTest.settings(client, back, SettingsTest.freePort(), SettingsTest.freePort()));
     server = new Server(SettingsReader.read(file), Tuning.defaults());
     assertTrue(server.awaitListening(Duration.ofSeconds(10)), "does not listen");
   }
--- a/src/test/java/io/pearscale/cli/SettingsTest.java
+++ b/src/test/java/io/pearscale/cli/SettingsTest.java
@@ -7,6 +7,8 @@
 import io.pearscale.protocol.Settings;
 import io.pearscale.scheduler.Tuning;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -18,6 +20,13 @@
 class SettingsTest {
   @TempDir Path folder;
 
+  /** A port of the loopback interface that nobody listens on. */
+  static int freePort() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
+    }
+  }
+
   static String settings(int client, int back, int peer, int services) {
     return """
         host_name = "hive-0"
--- a/src/test/java/io/pearscale/cli/StartTest.java
+++ b/src/test/java/io/pearscale/cli/StartTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -19,17 +17,16 @@
 class StartTest {
   @TempDir Path folder;
 
-  private static int freePort() throws Exception {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return s.getLocalPort();
-    }
-  }
-
   @Test
   void theDaemonStartsWithoutTheCommandLinesLibrary() throws Exception {
     Path settings = folder.resolve("settings.toml");
     Files.writeString(
-        settings, SettingsTest.settings(freePort(), freePort(), freePort(), freePort()));
+        settings,
+        SettingsTest.settings(
+            SettingsTest.freePort(),
+            SettingsTest.freePort(),
+            SettingsTest.freePort(),
+            SettingsTest.freePort()));
     Path classes = folder.resolve("classes.txt");
     Process process =
         new ProcessBuilder(
--- a/src/test/java/io/pearscale/cli/UpgradeCommandTest.java
+++ b/src/test/java/io/pearscale/cli/UpgradeCommandTest.java
@@ -14,9 +14,10 @@
 import java.io.StringWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -37,10 +38,7 @@
 
   @BeforeEach
   void start() throws IOException {
-    int port;
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      port = free.getLocalPort();
-    }
+    int port = SettingsTest.freePort();
     worker = Server.oneThread();
     server =
         new HttpServer(
@@ -65,12 +63,9 @@
     CommandLine line = new CommandLine(new UpgradeCommand());
     line.setOut(new PrintWriter(out, true));
     line.setErr(new PrintWriter(err, true));
-    String[] args = new String[3 + more.length];
-    args[0] = "status";
-    args[1] = "--config";
-    args[2] = settings.toString();
-    System.arraycopy(more, 0, args, 3, more.length);
-    return line.execute(args);
+    List<String> args = new ArrayList<>(List.of("status", "--config", settings.toString()));
+    args.addAll(List.of(more));
+    return line.execute(args.toArray(String[]::new));
   }
 
   private void store(String key, JsonNode value) {
--- a/src/test/java/io/pearscale/sim/ElectionTest.java
+++ b/src/test/java/io/pearscale/sim/ElectionTest.java
@@ -32,7 +32,6 @@
   private boolean out;
 
   private final List<Long> questions = new ArrayList<>();
-  private Optional<String> objection = Optional.empty();
 
   private ElectionActor election() {
     for (int i = 0; i < 3; i++) {
@@ -49,7 +48,7 @@
             settings.grantTime().multipliedBy(2)),
         settings,
         RandomGeneratorFactory.of("L64X128MixRandom").create(1),
-        () -> objection,
+        Optional::empty,
         List.of(this));
   }
 
