Bound parked reports, open questions and the accept queue by the sockets at hand

Need: at 4,000 machines an election parks more reports than the 2,000 that were allowed, half a fleet was turned away and came back a second later at once; 512 open questions and an accept queue of 256 were fixed numbers as well.

Change: SocketShares says how a controller divides the sockets of its settings; each bound follows from it. What finds no room is answered 503 at once, and counted (event=reports_refused).

Ruled out: no bound at all, since on 1,200 sockets waiting reports would take those of users.

Tests: aWholeFleetWaitsForAnElectionWhereSocketsAllowIt and whatFindsNoRoomToWaitIsRefusedAtOnce, both seen failing with the bound of 2,000.

--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -51,7 +51,7 @@
     // only
     // one left. What we open ourselves is closed when others need it.
     HttpCalls calls =
-        new HttpCalls(loop, worker.getIoThread(), buffers, settings.maxConnections() / 5);
+        new HttpCalls(loop, worker.getIoThread(), buffers, settings.sockets().called());
     HttpCalls renewalCalls =
         new HttpCalls(renewalLoop, renewalWorker.getIoThread(), buffers, RENEWAL_CONNECTIONS);
     PeerLinks links =
@@ -90,7 +90,7 @@
             settings.clientListen(),
             worker,
             buffers,
-            settings.maxConnections() * 7 / 10,
+            settings.sockets().served(),
             Controller.REPORTS::equals,
             controller::request);
     loop.after(SOCKETS_LOGGED, () -> logSockets(loop, calls));
--- a/src/main/java/io/pearscale/coordination/RelayActor.java
+++ b/src/main/java/io/pearscale/coordination/RelayActor.java
@@ -29,7 +29,6 @@
   private static final Duration ELECTION = Duration.ofMillis(1500);
 
   private static final Duration SWEEP = Duration.ofMillis(250);
-  private static final int MOST_PARKED = 2000;
 
   /** What the actor understands. */
   public sealed interface Message {}
@@ -54,6 +53,7 @@
   private final String self;
   private final Links links;
   private final Duration patience;
+  private final int mostParked;
   private final BiConsumer<Report, Consumer<ReportAnswer>> local;
 
   /** Open exchanges, the oldest first, which is also the first to be overdue. */
@@ -63,6 +63,10 @@
   private final ArrayDeque<Parked> parked = new ArrayDeque<>();
 
   private boolean sweepPlanned;
+
+  /** Reports that found no room to wait since that was last logged. */
+  private int refused;
+
   private Optional<String> leader = Optional.empty();
   private long leaderTerm;
   private long exchanges;
@@ -71,17 +75,20 @@
    * Relays to the leader, which may be {@code local}.
    *
    * @param patience for how long a report waits for the leader's answer
+   * @param mostParked how many reports may wait for an election at the same time
    */
   public RelayActor(
       Loop loop,
       String self,
       Links links,
       Duration patience,
+      int mostParked,
       BiConsumer<Report, Consumer<ReportAnswer>> local) {
     super(loop);
     this.self = self;
     this.links = links;
     this.patience = patience;
+    this.mostParked = mostParked;
     this.local = local;
   }
 
@@ -125,7 +132,8 @@
    * that the election needed. One that waits is answered by the leader to come.
    */
   private void park(Incoming m) {
-    if (parked.size() >= MOST_PARKED) {
+    if (parked.size() >= mostParked) {
+      refused++;
       m.answer.accept(ReportAnswer.UNAVAILABLE, Optional.empty());
       return;
     }
@@ -158,6 +166,10 @@
 
   private void sweep() {
     sweepPlanned = false;
+    if (refused > 0) {
+      log.info("event=reports_refused count={} parked={}", refused, parked.size());
+      refused = 0;
+    }
     Instant now = loop.clock().instant();
     List<Long> overdue = new ArrayList<>();
     for (Map.Entry<Long, Exchange> entry : open.entrySet()) {
--- a/src/main/java/io/pearscale/protocol/Settings.java
+++ b/src/main/java/io/pearscale/protocol/Settings.java
@@ -80,6 +80,11 @@
     return time.compareTo(LONGEST_GRANT) > 0 ? LONGEST_GRANT : time;
   }
 
+  /** How the sockets are divided. */
+  public SocketShares sockets() {
+    return SocketShares.of(maxConnections);
+  }
+
   /**
    * For how long a relay waits for the leader's answer to a report. Workers drop answers after 4 s,
    * so a leader that is slow for a while is waited for almost as long; with a quick one, the sooner
--- a/src/main/java/io/pearscale/scheduler/ApiActor.java
+++ b/src/main/java/io/pearscale/scheduler/ApiActor.java
@@ -41,7 +41,6 @@
 public final class ApiActor extends Actor<ApiActor.Message> {
   private static final int REMEMBERED = 20_000;
   private static final int MOST_LIVE = 20_000;
-  private static final int MOST_OPEN = 512;
   private static final Duration SOON = Duration.ofSeconds(1);
 
   /** What the actor understands. */
@@ -216,7 +215,7 @@
       answer.accept(Response.of(200, stage(spec.id(), known.stage)));
       return;
     }
-    if (!loaded || open > MOST_OPEN) {
+    if (!loaded || open > settings.sockets().openQuestions()) {
       answer.accept(Response.later(SOON, loaded ? "busy" : "starting"));
       return;
     }
@@ -302,7 +301,7 @@
       then.accept(new Over(known));
       return;
     }
-    if (open > MOST_OPEN || !JobSpec.isId(id)) {
+    if (open > settings.sockets().openQuestions() || !JobSpec.isId(id)) {
       then.accept(JobSpec.isId(id) ? new Unknown() : new Nothing());
       return;
     }
--- a/src/main/java/io/pearscale/scheduler/Controller.java
+++ b/src/main/java/io/pearscale/scheduler/Controller.java
@@ -145,6 +145,7 @@
             settings.host(),
             links,
             settings.relayPatience(),
+            settings.sockets().parkedReports(),
             (report, answer) -> local(report, settings.host(), answer));
     replica.listen(new ReplicaListener());
   }
--- a/src/main/java/io/pearscale/transport/HttpServer.java
+++ b/src/main/java/io/pearscale/transport/HttpServer.java
@@ -32,6 +32,9 @@
   private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
   private static final long MAX_BODY = 64 * 1024;
 
+  /** A fleet whose controller comes back connects all at once, and a full queue drops attempts. */
+  private static final int LEAST_BACKLOG = 256;
+
   /** What a request is answered with. */
   public record Response(int status, JsonNode body, Optional<Duration> retryAfter, boolean close) {
     /** A plain answer. */
@@ -80,7 +83,7 @@
             .addHttpListener(address.getPort(), address.getAddress().getHostAddress())
             .setSocketOption(org.xnio.Options.CONNECTION_HIGH_WATER, maxConnections)
             .setSocketOption(org.xnio.Options.CONNECTION_LOW_WATER, maxConnections)
-            .setSocketOption(org.xnio.Options.BACKLOG, 256)
+            .setSocketOption(org.xnio.Options.BACKLOG, Math.max(LEAST_BACKLOG, maxConnections))
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
--- a/src/test/java/io/pearscale/coordination/RelayActorTest.java
+++ b/src/test/java/io/pearscale/coordination/RelayActorTest.java
@@ -11,6 +11,7 @@
 import io.pearscale.protocol.PeerMessage.ForwardedReport;
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.ReportAnswer;
+import io.pearscale.protocol.SocketShares;
 import io.pearscale.transport.CountingLoop;
 import io.pearscale.transport.Links;
 import java.time.Duration;
@@ -25,6 +26,9 @@
   private static final Report REPORT =
       new Report("m-1", "a:1", "small", "a", false, 1, 1, 0, Optional.empty(), List.of());
 
+  /** Of a controller that is to serve 4,000 workers while it is the only one. */
+  private static final int SOCKETS = 8000;
+
   private final CountingLoop loop = new CountingLoop();
   private final List<ForwardedReport> sent = new ArrayList<>();
   private final List<Integer> answers = new ArrayList<>();
@@ -49,6 +53,7 @@
             }
           },
           Duration.ofMillis(1500),
+          SocketShares.of(SOCKETS).parkedReports(),
           (report, answer) -> {});
 
   RelayActorTest() {
@@ -89,6 +94,34 @@
     assertEquals(List.of(200), answers);
   }
 
+  /** Half a fleet that is turned away in a takeover comes back a second later, all at once. */
+  @Test
+  void aWholeFleetWaitsForAnElectionWhereSocketsAllowIt() {
+    relay.tell(new LeaderIs(2, Optional.empty()));
+    for (int i = 0; i < 4000; i++) {
+      report();
+    }
+    loop.pass(Duration.ofMillis(900));
+    assertEquals(0, answers.size());
+    relay.tell(new LeaderIs(3, Optional.of("hive-1")));
+    loop.pass(Duration.ofMillis(10));
+    assertEquals(4000, sent.size());
+  }
+
+  /** Waiting reports hold connections, of which those that ask meanwhile need some too. */
+  @Test
+  void whatFindsNoRoomToWaitIsRefusedAtOnce() {
+    int most = SocketShares.of(SOCKETS).parkedReports();
+    assertTrue(most < SocketShares.of(SOCKETS).served());
+    relay.tell(new LeaderIs(2, Optional.empty()));
+    for (int i = 0; i < most + 3; i++) {
+      report();
+    }
+    loop.pass(Duration.ofMillis(10));
+    assertEquals(3, answers.size());
+    assertTrue(answers.stream().allMatch(status -> status == 503));
+  }
+
   @Test
   void aReportWithoutALeaderIsAnswered503InTime() {
     relay.tell(new LeaderIs(2, Optional.empty()));
