Read the machine list a page at a time within the cloud's rate

Cause: the pages of one list were asked for one after the other without waiting for the rate. At 1.5 calls a second a list of more than some 2,500 machines met 429, was given up, and was never complete; each try kept rentals and deletions waiting for 2 s more.

Change: each page waits for its turn, and lets a call that was asked for meanwhile go first; a list is followed by a rest as long as it took. A list of one page is asked for as often as before.

--- a/src/main/java/io/pearscale/scheduler/CloudActor.java
+++ b/src/main/java/io/pearscale/scheduler/CloudActor.java
@@ -15,6 +15,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -74,6 +75,18 @@
 
   private record Job(Message message, String hire, int tries) {}
 
+  /** A machine list that is being read, a page at a time. */
+  private static final class Listing {
+    final Instant started;
+    final List<Host> hosts = new ArrayList<>();
+    String last = "";
+    boolean yields;
+
+    Listing(Instant started) {
+      this.started = started;
+    }
+  }
+
   private final Calls calls;
   private final Settings settings;
   private final Budget budget;
@@ -84,6 +97,7 @@
   private long term;
   private long hires;
   private boolean haveCatalogue;
+  private Optional<Listing> listing = Optional.empty();
   private Instant nextList = Instant.MIN;
   private Instant nextCatalogue = Instant.MIN;
   private Instant quietUntil = Instant.MIN;
@@ -106,6 +120,7 @@
       hires = 0;
       busy = false;
       queue.clear();
+      listing = Optional.empty();
       nextList = Instant.MIN;
       nextCatalogue = Instant.MIN;
       quietUntil = Instant.MIN;
@@ -135,12 +150,16 @@
     if (!haveCatalogue || (queue.isEmpty() && now.isAfter(nextCatalogue))) {
       budget.take(1);
       catalogue();
-    } else if (now.isAfter(nextList)) {
+    } else if (listing.isPresent() && (queue.isEmpty() || !listing.get().yields)) {
+      budget.take(1);
+      nextPage(listing.get());
+    } else if (listing.isEmpty() && now.isAfter(nextList)) {
       budget.take(1);
-      nextList = now.plus(settings.cloudLimits().listLag().dividedBy(2)).plusSeconds(1);
-      list("", new ArrayList<>());
+      listing = Optional.of(new Listing(now));
+      nextPage(listing.get());
     } else if (!queue.isEmpty()) {
       budget.take(1);
+      listing.ifPresent(l -> l.yields = false);
       Job job = queue.poll();
       if (job.message instanceof Hire h) {
         hire(job, h);
@@ -191,34 +210,53 @@
         });
   }
 
-  private void list(String since, List<Host> hosts) {
+  /**
+   * Asks for the next page. The list of a large fleet takes more calls than the cloud allows at
+   * once, so that each page waits for its turn, and lets what was asked for meanwhile go first.
+   */
+  private void nextPage(Listing list) {
+    list.yields = true;
     call(
         "GET",
-        "/hosts?" + (since.isEmpty() ? "" : "since=" + since + "&") + "limit=" + PAGE,
+        "/hosts?" + (list.last.isEmpty() ? "" : "since=" + list.last + "&") + "limit=" + PAGE,
         MessagePack.MISSING,
-        reply -> {
-          if (!reply.ok() || !reply.body().path("hives").isArray()) {
-            return;
-          }
-          String last = since;
-          for (JsonNode n : reply.body().path("hives")) {
-            last = n.path("uid").asText();
-            hosts.add(
-                new Host(
-                    last,
-                    n.path("address").asText(),
-                    n.path("breed").asText(),
-                    n.path("yard").asText(),
-                    n.path("windfall").asBoolean(),
-                    n.path("stage").asText()));
-          }
-          if (reply.body().path("more").asBoolean() && !last.equals(since)) {
-            budget.take(1);
-            list(last, hosts);
-          } else {
-            events.accept(new Listed(hosts));
-          }
-        });
+        reply -> page(list, reply));
+  }
+
+  private void page(Listing list, Reply reply) {
+    if (!reply.ok() || !reply.body().path("hives").isArray()) {
+      endListing(list);
+      return;
+    }
+    String before = list.last;
+    for (JsonNode n : reply.body().path("hives")) {
+      Host host = host(n);
+      list.last = host.name;
+      list.hosts.add(host);
+    }
+    if (!reply.body().path("more").asBoolean() || list.last.equals(before)) {
+      endListing(list);
+      events.accept(new Listed(list.hosts));
+    }
+  }
+
+  private static Host host(JsonNode n) {
+    return new Host(
+        n.path("uid").asText(),
+        n.path("address").asText(),
+        n.path("breed").asText(),
+        n.path("yard").asText(),
+        n.path("windfall").asBoolean(),
+        n.path("stage").asText());
+  }
+
+  /** Lists of a large fleet leave at least as long between them as each of them takes. */
+  private void endListing(Listing list) {
+    listing = Optional.empty();
+    Instant now = loop.clock().instant();
+    Instant due = list.started.plus(settings.cloudLimits().listLag().dividedBy(2)).plusSeconds(1);
+    Instant rested = now.plus(Duration.between(list.started, now));
+    nextList = due.isAfter(rested) ? due : rested;
   }
 
   private void hire(Job job, Hire h) {
