Remember machines that are gone by age, not the last 2,000

Cause: names of machines that were given back were kept by number. When a fleet of 4,000 shrinks, the first are forgotten while lists that lag and late reports still name them: they came back as machines that boot, counted as room to come, and were given back once more.

Ruled out: a larger number, which some fleet outgrows again.

--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -186,7 +186,7 @@
   private long attempts;
   private long commits;
   private final Map<String, Machine> machines = new LinkedHashMap<>();
-  private final Set<String> gone = new LinkedHashSet<>();
+  private final RemovedMachines removed = new RemovedMachines();
 
   /** Jobs with tasks that wait for a machine: a pass looks at these alone. */
   private final Set<Job> queue = new LinkedHashSet<>();
@@ -745,7 +745,7 @@
   private Machine machineOf(Report r) {
     Machine m = machines.get(r.machine());
     if (m == null) {
-      if (gone.contains(r.machine())) {
+      if (removed.contains(r.machine())) {
         return null;
       }
       MachineType type = types.getOrDefault(r.type(), unknownType(r.type()));
@@ -2031,7 +2031,7 @@
       fleet.renter().noteGranted(e.kind());
       MachineType type = types.get(e.kind().type());
       for (String name : e.names()) {
-        if (!machines.containsKey(name) && !gone.contains(name) && type != null) {
+        if (!machines.containsKey(name) && !removed.contains(name) && type != null) {
           Machine m = new Machine(name, e.kind().zone(), e.kind().spot(), type, Life.BOOTING, now);
           m.token = (term << TERM_SHIFT) + 1;
           machines.put(name, m);
@@ -2065,10 +2065,7 @@
 
   private void deleted(String name) {
     Machine m = machines.remove(name);
-    gone.add(name);
-    if (gone.size() > 2000) {
-      gone.remove(gone.iterator().next());
-    }
+    removed.note(name, now());
     if (m == null) {
       return;
     }
@@ -2085,7 +2082,7 @@
       names.add(h.name());
       Machine m = machines.get(h.name());
       if (m == null) {
-        if (gone.contains(h.name())) {
+        if (removed.contains(h.name())) {
           continue;
         }
         MachineType type = types.getOrDefault(h.type(), unknownType(h.type()));
