Give a term 32 bits of attempt numbers instead of 24

Cause: attempts of a term were counted in 24 bits below the term. 4,000 machines with short tasks start hundreds to thousands a second: after some hours the numbers would have run into those of the next term, which two leaders must never share, since a worker takes a number that it has for one that needs no start.

Change: AttemptNumbers, 32 bits a term. The protocol allows integers below 2^64, and records between controllers carry 64 bits already.

Test: AttemptNumbersTest; seen failing with 24 bits.

--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -183,7 +183,7 @@
 
   private Instant evidence = Instant.MIN;
   private Instant fresh = Instant.MIN;
-  private long attempts;
+  private final AttemptNumbers attempts = new AttemptNumbers();
   private long commits;
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final RemovedMachines removed = new RemovedMachines();
@@ -496,7 +496,7 @@
     evidence = m.evidence;
     wonAt = now();
     formerLeaders = wonAt.plus(settings.hold());
-    attempts = 0;
+    attempts.begin(term);
     commits = 0;
     committing = false;
     commitPlanned = false;
@@ -1198,13 +1198,7 @@
         touched.add(m);
       }
       Placement p =
-          new Placement(
-              j,
-              new TaskId(j.spec.id(), i),
-              (term << TERM_SHIFT) + (++attempts),
-              m,
-              Stage.PLANNED,
-              now);
+          new Placement(j, new TaskId(j.spec.id(), i), attempts.next(), m, Stage.PLANNED, now);
       add(p);
       log.debug(
           "event=placed term={} machine={} task={} attempt={} class={} image={} cached={}",
--- /dev/null
+++ b/src/test/java/io/pearscale/scheduler/AttemptNumbersTest.java
@@ -0,0 +1,24 @@
+package io.pearscale.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class AttemptNumbersTest {
+  /** Two hours of 4,000 machines with short tasks. */
+  private static final int MANY = 1 << 25;
+
+  @Test
+  void aLongTermDoesNotUseTheNumbersOfTheNext() {
+    AttemptNumbers numbers = new AttemptNumbers();
+    numbers.begin(6);
+    long last = 0;
+    for (int i = 0; i < MANY; i++) {
+      long next = numbers.next();
+      assertTrue(next > last);
+      last = next;
+    }
+    numbers.begin(7);
+    assertTrue(numbers.next() > last);
+  }
+}
