Keep sockets for the state service, and tell what was not sent from what is in doubt

Cause: with more machines than sockets, a burst of commands took all outgoing connections, those to the state service and the cloud included; a command that found no socket was treated as one that might have been carried out: the machine's token was raised and nothing was sent to it for 3 s. Addresses of machines were kept for ever.

Counted in event=sockets calls_refused. A host without requests and connections is forgotten.

--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -16,6 +16,8 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -51,7 +53,13 @@
     // only
     // one left. What we open ourselves is closed when others need it.
     HttpCalls calls =
-        new HttpCalls(loop, worker.getIoThread(), buffers, settings.sockets().called());
+        new HttpCalls(
+            loop,
+            worker.getIoThread(),
+            buffers,
+            settings.sockets().called(),
+            settings.sockets().reserved(),
+            Set.copyOf(List.of(settings.state(), settings.cloud())));
     HttpCalls renewalCalls =
         new HttpCalls(renewalLoop, renewalWorker.getIoThread(), buffers, RENEWAL_CONNECTIONS);
     PeerLinks links =
@@ -119,7 +127,11 @@
   }
 
   private void logSockets(XnioLoop loop, HttpCalls calls) {
-    LOG.info("event=sockets served={} called={}", http.open(), calls.open());
+    LOG.info(
+        "event=sockets served={} called={} calls_refused={}",
+        http.open(),
+        calls.open(),
+        calls.refused());
     loop.after(SOCKETS_LOGGED, () -> logSockets(loop, calls));
   }
 
--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -1448,6 +1448,12 @@
         log.warn("event=worker_answer_malformed machine={} reason={}", m.name, e.getMessage());
       }
     }
+    if (d.reply.notSent()) {
+      // Not a sign of anything about the machine: the next report or moment brings another chance.
+      refused(m, d);
+      m.directAfter = now().plus(FIRST_PAUSE);
+      return;
+    }
     if (d.orders.isEmpty()) {
       // Each miss doubles the pause: a zone that is cut off must not keep us busy.
       m.missedProbes++;
@@ -1462,7 +1468,10 @@
     log.info("event=command_in_doubt term={} machine={} token={}", term, m.name, d.token);
   }
 
-  /** The worker executed nothing: its starts go back to where they were, unless sent otherwise. */
+  /**
+   * Nothing was executed, and nothing will be: its starts go back to where they were, unless sent
+   * otherwise.
+   */
   private void refused(Machine m, Done d) {
     for (Order o : d.orders) {
       Placement p = m.placements.get(o.task());
--- a/src/main/java/io/pearscale/transport/Calls.java
+++ b/src/main/java/io/pearscale/transport/Calls.java
@@ -30,6 +30,14 @@
     /** No answer came. */
     public static final Reply NONE = new Reply(0, MessagePack.MISSING);
 
+    /** There was no socket for it. It was not sent, and will not be carried out. */
+    public static final Reply NOT_SENT = new Reply(0, MessagePack.map());
+
+    /** Whether the request never left this process. */
+    public boolean notSent() {
+      return this == NOT_SENT;
+    }
+
     /** Whether the request was carried out. */
     public boolean ok() {
       return status == 200;
--- a/src/main/java/io/pearscale/transport/HttpCalls.java
+++ b/src/main/java/io/pearscale/transport/HttpCalls.java
@@ -50,6 +50,8 @@
   private final Dialler dialler;
   private final ByteBufferPool buffers;
   private final int maxOpen;
+  private final int reserved;
+  private final Set<String> preferred;
   private final Map<String, Host> hosts = new HashMap<>();
 
   /** Idle connections, the one that was used longest ago first. */
@@ -59,25 +61,48 @@
   private final Set<ClientConnection> counted = new HashSet<>();
 
   private int connecting;
+  private long refused;
 
   /** Uses at most {@code maxOpen} sockets. */
   public HttpCalls(Loop loop, XnioIoThread thread, ByteBufferPool buffers, int maxOpen) {
+    this(loop, thread, buffers, maxOpen, 0, Set.of());
+  }
+
+  /**
+   * Uses at most {@code maxOpen} sockets.
+   *
+   * @param reserved how many of them are for the preferred addresses alone: with more machines than
+   *     sockets, a burst of commands must not keep the leader from the state service
+   */
+  public HttpCalls(
+      Loop loop,
+      XnioIoThread thread,
+      ByteBufferPool buffers,
+      int maxOpen,
+      int reserved,
+      Set<String> preferred) {
     this.loop = loop;
     this.timeouts = new Timeouts(loop);
     this.dialler = new Dialler(thread);
     this.buffers = buffers;
     this.maxOpen = maxOpen;
+    this.reserved = reserved;
+    this.preferred = preferred;
   }
 
   private static final class Host {
+    final String address;
+
     /** Empty for what is no address. */
     final Optional<URI> target;
 
     final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
     int connecting;
+    int pending;
 
-    Host(Optional<URI> target) {
-      this.target = target;
+    Host(String address) {
+      this.address = address;
+      this.target = target(address);
     }
   }
 
@@ -105,6 +130,7 @@
       }
       Consumer<Reply> to = answer;
       answer = null;
+      host.pending--;
       timeouts.cancel(timeout);
       if (dialling) {
         dialled();
@@ -118,6 +144,7 @@
           IoUtils.safeClose(connection);
         }
       }
+      forgetUnused(host);
       to.accept(reply);
     }
 
@@ -229,8 +256,9 @@
       JsonNode body,
       Duration timeout,
       Consumer<Reply> answer) {
-    Host host = hosts.computeIfAbsent(address, a -> new Host(target(a)));
+    Host host = hosts.computeIfAbsent(address, Host::new);
     if (host.target.isEmpty()) {
+      forgetUnused(host);
       loop.execute(() -> answer.accept(Reply.NONE));
       return;
     }
@@ -245,6 +273,7 @@
       request.getRequestHeaders().put(Headers.CONTENT_LENGTH, "0");
     }
     Pending pending = new Pending(host, request, bytes, answer);
+    host.pending++;
     pending.timeout = timeouts.start(timeout, () -> pending.finish(Reply.NONE, false));
     ClientConnection kept;
     while ((kept = host.idle.poll()) != null) {
@@ -254,16 +283,35 @@
         return;
       }
     }
-    if (open() >= maxOpen) {
+    int most = preferred.contains(address) ? maxOpen : maxOpen - reserved;
+    if (open() >= most) {
       closeIdle();
     }
-    if (host.connecting >= CONNECTING_PER_HOST || open() >= maxOpen) {
-      loop.execute(() -> pending.finish(Reply.NONE, false));
+    if (host.connecting >= CONNECTING_PER_HOST || open() >= most) {
+      refused++;
+      loop.execute(() -> pending.finish(Reply.NOT_SENT, false));
       return;
     }
     connect(pending);
   }
 
+  /** How many requests found no socket so far. */
+  public long refused() {
+    return refused;
+  }
+
+  /** Machines come and go, and their addresses with them: only those in use are kept. */
+  private void forgetUnused(Host host) {
+    if (host.pending == 0 && host.idle.isEmpty()) {
+      hosts.remove(host.address, host);
+    }
+  }
+
+  /** How many hosts are known. */
+  int knownHosts() {
+    return hosts.size();
+  }
+
   /**
    * Where an address leads. Machines name their own: one that is no address counts as one that does
    * not answer, since an exception would end whatever the caller was about to do for others.
@@ -279,13 +327,17 @@
 
   /** With more hosts than sockets, the connection that was not needed for longest makes room. */
   private void closeIdle() {
-    var oldest = idle.keySet().iterator();
-    if (oldest.hasNext()) {
-      ClientConnection c = oldest.next();
-      forget(c);
-      counted.remove(c);
-      IoUtils.safeClose(c);
-    }
+    Optional<ClientConnection> oldest =
+        idle.entrySet().stream()
+            .filter(entry -> !preferred.contains(entry.getValue().address))
+            .map(Map.Entry::getKey)
+            .findFirst();
+    oldest.ifPresent(
+        c -> {
+          forget(c);
+          counted.remove(c);
+          IoUtils.safeClose(c);
+        });
   }
 
   /** Connections that are open or being opened. */
@@ -297,6 +349,7 @@
     Host host = idle.remove(c);
     if (host != null) {
       host.idle.remove(c);
+      forgetUnused(host);
     }
   }
 
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -273,6 +273,7 @@
       case "lose-commands" -> world.lostCommands = Double.parseDouble(w.get(1));
       case "ignore-kills" -> world.workers.get(name(w.get(1))).ignoresKills = true;
       case "cancel-at-end" -> world.cancelledAtEnd.add(w.get(1));
+      case "no-sockets" -> world.unsentCommands = Integer.parseInt(w.get(1));
       case "late-commands" -> {
         world.lateCommands = Integer.parseInt(w.get(1));
         world.lateCommandsBy = seconds(w.get(2));
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -104,6 +104,9 @@
 
   Duration copiesBy = Duration.ZERO;
 
+  /** The next so many commands straight to workers find no socket. */
+  int unsentCommands;
+
   /** The next so many commands straight to workers are held up, and their answers are lost. */
   int lateCommands;
 
@@ -239,6 +242,11 @@
       return;
     }
     JsonNode copy = body.deepCopy();
+    if (path.equals("/do") && unsentCommands > 0) {
+      unsentCommands--;
+      after(Duration.ZERO, () -> once.accept(Reply.NOT_SENT));
+      return;
+    }
     commands += path.equals("/do") ? 1 : 0;
     if (copies.getOrDefault(from, 0) > 0) {
       copies.merge(from, -1, Integer::sum);
--- a/src/test/java/io/pearscale/transport/HttpCallsTest.java
+++ b/src/test/java/io/pearscale/transport/HttpCallsTest.java
@@ -1,6 +1,8 @@
 package io.pearscale.transport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.pearscale.transport.Calls.Reply;
 import io.undertow.server.DefaultByteBufferPool;
@@ -13,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -26,6 +29,8 @@
 /** Outgoing requests on real sockets, where some hosts never answer. */
 class HttpCallsTest {
   private static final int MOST = 4;
+  private static final int RESERVED = 1;
+  private static final String STATE = "127.0.0.2:1";
   private XnioWorker worker;
   private HttpCalls calls;
   private final List<ServerSocket> servers = new ArrayList<>();
@@ -41,7 +46,9 @@
             new XnioLoop(worker.getIoThread()),
             worker.getIoThread(),
             new DefaultByteBufferPool(false, 8192, 8, 0),
-            MOST);
+            MOST,
+            RESERVED,
+            Set.of(STATE));
   }
 
   @AfterEach
@@ -102,6 +109,10 @@
   }
 
   private Reply ask(String address) throws Exception {
+    return begin(address).get(5, TimeUnit.SECONDS);
+  }
+
+  private CompletableFuture<Reply> begin(String address) {
     CompletableFuture<Reply> reply = new CompletableFuture<>();
     worker
         .getIoThread()
@@ -114,7 +125,7 @@
                     MessagePack.MISSING,
                     Duration.ofMillis(300),
                     reply::complete));
-    return reply.get(5, TimeUnit.SECONDS);
+    return reply;
   }
 
   @Test
@@ -125,6 +136,38 @@
     assertEquals(200, ask(goodHost()).status());
   }
 
+  /** A burst of commands to machines must not keep the leader from the state service. */
+  @Test
+  void aReserveIsLeftForTheStateService() throws Exception {
+    List<String> silent = new ArrayList<>();
+    for (int i = 0; i < MOST; i++) {
+      silent.add(silentHost());
+    }
+    List<CompletableFuture<Reply>> machines = silent.stream().map(this::begin).toList();
+    // Nothing listens there: an attempt fails by itself, and only one without a socket is not sent.
+    Reply state = ask(STATE);
+    assertFalse(state.notSent());
+    List<Reply> replies = new ArrayList<>();
+    for (CompletableFuture<Reply> m : machines) {
+      replies.add(m.get(5, TimeUnit.SECONDS));
+    }
+    assertEquals(RESERVED, replies.stream().filter(Reply::notSent).count());
+  }
+
+  /** Machines come and go for as long as a process lives. */
+  @Test
+  void hostsAreForgottenWithTheirLastConnection() throws Exception {
+    for (int i = 0; i < 10; i++) {
+      ask(silentHost());
+      ask("no address " + i);
+    }
+    assertEquals(0, calls.knownHosts());
+    for (int i = 0; i < 3 * MOST; i++) {
+      ask(goodHost());
+    }
+    assertTrue(calls.knownHosts() <= MOST, "known: " + calls.knownHosts());
+  }
+
   @Test
   void whatIsNoAddressCountsAsSilent() throws Exception {
     for (String address : List.of("", "no address", "host", "host:", "host:x", "[::", "a/b:1")) {
