Bound the search for room of machines that are to be emptied by the size of the fleet

Cause: how many machines a plan asks about and how many it looks through for each both grow with the fleet. In a fleet that is full every look is in vain: 76,000 looks for 1,000 machines, sixteen times as many for 4,000.

Change: SpareRoom, taken out of Fleet, takes 32 looks a machine at the most; the rest is left for the next plan. A fleet of some 300 machines is looked through as before.

Test: SpareRoomTest counts looks at 1,000 to 6,000 machines; seen failing without the bound.

--- a/src/main/java/io/pearscale/scheduler/Fleet.java
+++ b/src/main/java/io/pearscale/scheduler/Fleet.java
@@ -4,7 +4,6 @@
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.Settings.Team;
 import io.pearscale.scheduler.Machine.Life;
-import io.pearscale.scheduler.Placement.Stage;
 import io.pearscale.scheduler.Renter.Kind;
 import java.time.Duration;
 import java.time.Instant;
@@ -218,10 +217,9 @@
       nextMove = now.plus(MOVE_SPACING);
       moves = most;
     }
-    Set<Machine> rest = new LinkedHashSet<>(usable);
+    SpareRoom rest = new SpareRoom(usable);
     int emptied = 0;
     int tried = 0;
-    Map<Machine, Machine.Room> rooms = new HashMap<>();
     for (Candidate c : candidates) {
       Machine m = c.machine;
       double after = free - m.type.cpus();
@@ -232,7 +230,7 @@
       }
       int replicas = c.replicas;
       if (room && replicas > 0) {
-        room = emptied < most && tried++ < 3 * most && replicasFitInto(m, rest, rooms, now);
+        room = emptied < most && tried++ < 3 * most && rest.takesReplicasOf(m, now);
         emptied += room ? 1 : 0;
       }
       if (!room) {
@@ -255,33 +253,6 @@
     }
   }
 
-  /** Whether each replica of the machine could go to one of the others that has its image. */
-  private static boolean replicasFitInto(
-      Machine m, Set<Machine> others, Map<Machine, Machine.Room> rooms, Instant now) {
-    for (Placement p : m.placements.values()) {
-      if (!p.job.spec.service()) {
-        continue;
-      }
-      if (p.stage != Stage.RUNNING || p.since.isAfter(now.minus(Placer.SETTLED))) {
-        return false;
-      }
-      boolean placed = false;
-      for (Machine o : others) {
-        if (o != m
-            && Placer.mayMoveTo(p, o)
-            && rooms.computeIfAbsent(o, Machine::room).fits(p.job)) {
-          rooms.get(o).take(p.job);
-          placed = true;
-          break;
-        }
-      }
-      if (!placed) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   /** Moves a replica off a machine that is to be given back, not too many at a time. */
   private void moveOne(Machine m, Plan plan) {
     if (moves <= 0) {
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/SpareRoom.java
@@ -0,0 +1,71 @@
+package io.pearscale.scheduler;
+
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Room that the replicas of machines to be emptied could move to. Both how many machines are asked
+ * about and how many have to be looked at for each grow with the fleet, so that the looks of one
+ * plan are bounded by the fleet's size: what is not found by then is left for the next plan.
+ */
+final class SpareRoom {
+  private static final int LOOKS_PER_MACHINE = 32;
+
+  /** A small fleet is looked through as a whole. */
+  private static final int LEAST_LOOKS = 10_000;
+
+  private final Set<Machine> machines;
+  private final Map<Machine, Machine.Room> rooms = new HashMap<>();
+  private int looksLeft;
+
+  /** Begins with the room of machines that may take tasks. */
+  SpareRoom(Collection<Machine> usable) {
+    machines = new LinkedHashSet<>(usable);
+    looksLeft = Math.max(LEAST_LOOKS, LOOKS_PER_MACHINE * usable.size());
+  }
+
+  /** A machine that is to be emptied is no place to move to. */
+  void remove(Machine machine) {
+    machines.remove(machine);
+  }
+
+  /** Looks that this plan may still take. */
+  int looksLeft() {
+    return looksLeft;
+  }
+
+  /**
+   * Whether each replica of the machine could go to one of the others that has its image; if so,
+   * their room is taken.
+   */
+  boolean takesReplicasOf(Machine machine, Instant now) {
+    for (Placement p : machine.placements.values()) {
+      if (p.job.spec.service() && !(settled(p, now) && takes(p))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static boolean settled(Placement p, Instant now) {
+    return p.stage == Placement.Stage.RUNNING && !p.since.isAfter(now.minus(Placer.SETTLED));
+  }
+
+  private boolean takes(Placement p) {
+    for (Machine other : machines) {
+      if (looksLeft <= 0) {
+        return false;
+      }
+      looksLeft--;
+      if (Placer.mayMoveTo(p, other) && rooms.computeIfAbsent(other, Machine::room).fits(p.job)) {
+        rooms.get(other).take(p.job);
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/scheduler/SpareRoomTest.java
@@ -0,0 +1,97 @@
+package io.pearscale.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pearscale.protocol.JobSpec;
+import io.pearscale.protocol.MachineType;
+import io.pearscale.protocol.Priority;
+import io.pearscale.protocol.TaskId;
+import io.pearscale.scheduler.Machine.Life;
+import io.pearscale.scheduler.Placement.Stage;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Emptying machines of a fleet that is full, where every look is in vain. */
+class SpareRoomTest {
+  private static final Instant NOW = Instant.EPOCH.plusSeconds(5000);
+  private static final MachineType BIG =
+      new MachineType("big", 8, 0, 64, 100, 1, 1, 0.4, Duration.ofSeconds(20), List.of("a"));
+
+  private static JobSpec replica(int cpus) {
+    return new JobSpec(
+        "wk-1",
+        "web",
+        "t",
+        true,
+        Priority.CRITICAL,
+        100_000,
+        cpus,
+        0,
+        1,
+        "img",
+        1,
+        Optional.empty(),
+        Optional.empty(),
+        false,
+        false,
+        false,
+        Duration.ofSeconds(5),
+        Duration.ZERO,
+        Duration.ZERO,
+        Optional.empty());
+  }
+
+  /** Machines that each hold one replica of so many processors, and its image. */
+  private static List<Machine> fleet(int size, int cpus) {
+    Job job = new Job(replica(cpus), 0, NOW, false);
+    List<Machine> machines = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      Machine m = new Machine("m-" + i, "a", false, BIG, Life.UP, NOW);
+      m.noteImage("img", 1);
+      Placement p =
+          new Placement(
+              job, new TaskId("wk-1", i), i, m, Stage.RUNNING, NOW.minus(Duration.ofHours(1)));
+      m.add(p);
+      job.add(p);
+      machines.add(m);
+    }
+    return machines;
+  }
+
+  /** Asks about as many machines as a plan does: a part of the fleet. */
+  private static int looks(int size) {
+    List<Machine> machines = fleet(size, 8);
+    SpareRoom room = new SpareRoom(machines);
+    int before = room.looksLeft();
+    for (int i = 0; i < size / 13; i++) {
+      room.takesReplicasOf(machines.get(i), NOW);
+    }
+    return before - room.looksLeft();
+  }
+
+  @Test
+  void looksGrowWithTheFleetAndNotWithItsSquare() {
+    for (int size : new int[] {1000, 2000, 4000, 6000}) {
+      int looks = looks(size);
+      assertTrue(looks <= 40 * size, size + " machines: " + looks);
+    }
+  }
+
+  @Test
+  void roomThatOneReplicaTookIsNotFreeForTheNext() {
+    List<Machine> machines = fleet(3, 4);
+    SpareRoom room = new SpareRoom(machines);
+    room.remove(machines.get(0));
+    room.remove(machines.get(1));
+    assertEquals(
+        List.of(true, false),
+        List.of(
+            room.takesReplicasOf(machines.get(0), NOW),
+            room.takesReplicasOf(machines.get(1), NOW)));
+  }
+}
