--- a/src/test/java/io/pearscale/sim/SimCloud.java
+++ b/src/test/java/io/pearscale/sim/SimCloud.java
@@ -19,7 +19,18 @@
 final class SimCloud {
   private record Rented(String name, String type, String zone, boolean spot, Instant at) {}
 
+  private static final int PAGE = 500;
+
+  /** Calls a second, of which two seconds' worth may come at once. */
+  static final double RATE = 4;
+
   private final World world;
+  private double allowed = 2 * RATE;
+  private Instant counted = World.START;
+
+  /** Calls that were over the rate. */
+  int overRate;
+
   final Map<String, MachineType> types = new TreeMap<>();
   final Map<String, Integer> capacity = new HashMap<>();
   private final TreeMap<String, Rented> rented = new TreeMap<>();
@@ -40,7 +51,9 @@
   }
 
   void serve(String method, String path, JsonNode body, Consumer<Reply> answer) {
-    if (down) {
+    if (overRate()) {
+      answer.accept(new Reply(429, World.map()));
+    } else if (down) {
       answer.accept(new Reply(503, World.map().put("error", "trouble")));
     } else if (path.equals("/catalog")) {
       ObjectNode n = World.map();
@@ -55,10 +68,22 @@
       }
       answer.accept(new Reply(200, World.map()));
     } else {
-      list(answer);
+      list(path, answer);
     }
   }
 
+  private boolean overRate() {
+    double passed = Duration.between(counted, world.now).toNanos() / 1e9;
+    allowed = Math.min(2 * RATE, allowed + passed * RATE);
+    counted = world.now;
+    if (allowed < 1) {
+      overRate++;
+      return true;
+    }
+    allowed--;
+    return false;
+  }
+
   private void hire(JsonNode b, Consumer<Reply> answer) {
     String request = b.path("hire").asText();
     if (answers.containsKey(request)) {
@@ -130,13 +155,19 @@
     world.note(name + " gone");
   }
 
-  private void list(Consumer<Reply> answer) {
+  private void list(String path, Consumer<Reply> answer) {
+    int since = path.indexOf("since=");
+    String last = since < 0 ? "" : path.substring(since + "since=".length()).split("&")[0];
     ObjectNode n = World.map().put("more", false);
     var list = n.putArray("hives");
-    for (Rented r : rented.values()) {
+    for (Rented r : rented.tailMap(last, false).values()) {
       if (r.at.plus(lag).isAfter(world.now)) {
         continue;
       }
+      if (list.size() == PAGE) {
+        n.put("more", true);
+        break;
+      }
       SimWorker w = world.workers.get(r.name);
       list.addObject()
           .put("uid", r.name)
--- a/src/test/java/io/pearscale/sim/SizeTest.java
+++ b/src/test/java/io/pearscale/sim/SizeTest.java
@@ -4,8 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import java.util.random.RandomGenerator;
-import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -20,36 +18,13 @@
   private static final int ARRAYS = 280;
 
   private static String day() {
-    RandomGenerator r = RandomGeneratorFactory.of("L64X128MixRandom").create(7);
-    StringBuilder s =
-        new StringBuilder(
-            """
-            nodes 3
-            zones a b
-            type big cpus=32 mem=256 boot=5
-            machines big a ordinary 750
-            machines big b ordinary 750
-            team t
-            class web wait 2
-            at 30 crash leader
-            at 34 start all
-            at 42 freeze leader 20
-            """);
-    StringBuilder expect = new StringBuilder();
-    for (int i = 0; i < SERVICES; i++) {
-      int tasks = 4 + 4 * r.nextInt(3);
-      s.append(
-          "at %.2f submit wk-s%d service tasks=%d cpus=4 spread class=web image=i%d\n"
-              .formatted(2 + i * 0.05, i, tasks, r.nextInt(16)));
-      expect.append("expect wk-s%d present %d\n".formatted(i, tasks));
-    }
-    for (int i = 0; i < ARRAYS; i++) {
-      s.append(
-          "at %.2f submit wk-b%d batch tasks=%d cpus=4 image=j%d run=%d\n"
-              .formatted(2 + i * 0.1, i, 10 + r.nextInt(60), r.nextInt(12), 8 + r.nextInt(12)));
-      expect.append("expect wk-b%d stage done\n".formatted(i));
-    }
-    return s.append("until " + SECONDS + "\n").append(expect).toString();
+    return new FleetDay(List.of("a", "b"), MACHINES / 2)
+        .add("at 30 crash leader")
+        .add("at 34 start all")
+        .add("at 42 freeze leader 20")
+        .services(SERVICES, 2, 0.05)
+        .arrays(ARRAYS, 2, 0.1)
+        .until(SECONDS);
   }
 
   @Test
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -310,7 +310,7 @@
         objectives,
         new Settings.Workers(report, lease, cancel),
         new Settings.State(100, 60, 8192, 24),
-        new Settings.Cloud(4, cloud.lag),
+        new Settings.Cloud(SimCloud.RATE, cloud.lag),
         1000,
         cpuShare);
   }
