--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -183,10 +183,10 @@
 
   private Instant evidence = Instant.MIN;
   private Instant fresh = Instant.MIN;
-  private long attempts;
+  private final AttemptNumbers attempts = new AttemptNumbers();
   private long commits;
   private final Map<String, Machine> machines = new LinkedHashMap<>();
-  private final Set<String> gone = new LinkedHashSet<>();
+  private final RemovedMachines removed = new RemovedMachines();
 
   /** Jobs with tasks that wait for a machine: a pass looks at these alone. */
   private final Set<Job> queue = new LinkedHashSet<>();
@@ -496,7 +496,7 @@
     evidence = m.evidence;
     wonAt = now();
     formerLeaders = wonAt.plus(settings.hold());
-    attempts = 0;
+    attempts.begin(term);
     commits = 0;
     committing = false;
     commitPlanned = false;
@@ -745,7 +745,7 @@
   private Machine machineOf(Report r) {
     Machine m = machines.get(r.machine());
     if (m == null) {
-      if (gone.contains(r.machine())) {
+      if (removed.contains(r.machine())) {
         return null;
       }
       MachineType type = types.getOrDefault(r.type(), unknownType(r.type()));
@@ -1198,13 +1198,7 @@
         touched.add(m);
       }
       Placement p =
-          new Placement(
-              j,
-              new TaskId(j.spec.id(), i),
-              (term << TERM_SHIFT) + (++attempts),
-              m,
-              Stage.PLANNED,
-              now);
+          new Placement(j, new TaskId(j.spec.id(), i), attempts.next(), m, Stage.PLANNED, now);
       add(p);
       log.debug(
           "event=placed term={} machine={} task={} attempt={} class={} image={} cached={}",
@@ -1454,6 +1448,12 @@
         log.warn("event=worker_answer_malformed machine={} reason={}", m.name, e.getMessage());
       }
     }
+    if (d.reply.notSent()) {
+      // Not a sign of anything about the machine: the next report or moment brings another chance.
+      refused(m, d);
+      m.directAfter = now().plus(FIRST_PAUSE);
+      return;
+    }
     if (d.orders.isEmpty()) {
       // Each miss doubles the pause: a zone that is cut off must not keep us busy.
       m.missedProbes++;
@@ -1468,7 +1468,10 @@
     log.info("event=command_in_doubt term={} machine={} token={}", term, m.name, d.token);
   }
 
-  /** The worker executed nothing: its starts go back to where they were, unless sent otherwise. */
+  /**
+   * Nothing was executed, and nothing will be: its starts go back to where they were, unless sent
+   * otherwise.
+   */
   private void refused(Machine m, Done d) {
     for (Order o : d.orders) {
       Placement p = m.placements.get(o.task());
@@ -2031,7 +2034,7 @@
       fleet.renter().noteGranted(e.kind());
       MachineType type = types.get(e.kind().type());
       for (String name : e.names()) {
-        if (!machines.containsKey(name) && !gone.contains(name) && type != null) {
+        if (!machines.containsKey(name) && !removed.contains(name) && type != null) {
           Machine m = new Machine(name, e.kind().zone(), e.kind().spot(), type, Life.BOOTING, now);
           m.token = (term << TERM_SHIFT) + 1;
           machines.put(name, m);
@@ -2065,10 +2068,7 @@
 
   private void deleted(String name) {
     Machine m = machines.remove(name);
-    gone.add(name);
-    if (gone.size() > 2000) {
-      gone.remove(gone.iterator().next());
-    }
+    removed.note(name, now());
     if (m == null) {
       return;
     }
@@ -2085,7 +2085,7 @@
       names.add(h.name());
       Machine m = machines.get(h.name());
       if (m == null) {
-        if (gone.contains(h.name())) {
+        if (removed.contains(h.name())) {
           continue;
         }
         MachineType type = types.getOrDefault(h.type(), unknownType(h.type()));
