Work out the workers' times once

Change: WorkerTimes, a record of its own, with each time named; the holding time of the leadership is kept as well. Behaviour does not change.

--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -204,8 +204,9 @@
   private final Set<String> garbage = new LinkedHashSet<>();
   private final Map<String, Integer> knownCounts = new HashMap<>();
 
-  /** Reports come a quarter early or late; what is later than that is asked for. */
-  private final Duration reportDue;
+  private final WorkerTimes times;
+  private final Duration hold;
+  private final Duration startKnowledge;
 
   private final JobClasses classes;
   private final JobOrder order;
@@ -263,7 +264,9 @@
     this.unfit = unfit;
     this.counts = counts;
     this.cloud = new CloudActor(loop, calls, settings, e -> tell(new CloudSaid(e)));
-    this.reportDue = settings.workers().report().multipliedBy(13).dividedBy(10);
+    this.times = WorkerTimes.of(settings.workers());
+    this.hold = settings.hold();
+    this.startKnowledge = startKnowledge(hold);
     this.classes = new JobClasses(settings.objectives(), types.values());
     this.order = new JobOrder(settings.objectives(), classes);
     this.fleet = new Fleet(tuning, teams, classes);
@@ -418,7 +421,7 @@
           .filter(j -> j.stamp <= list.epoch() && !live.contains(j.spec.id()))
           .forEach(j -> cancelled(j.spec.id()));
     }
-    if (m.evidence.isBefore(fresh.plus(settings.hold()))) {
+    if (m.evidence.isBefore(fresh.plus(hold))) {
       evidence = m.evidence.isAfter(evidence) ? m.evidence : evidence;
       fresh = m.evidence.isAfter(fresh) ? m.evidence : fresh;
     }
@@ -495,7 +498,7 @@
     termStamp = m.termStamp;
     evidence = m.evidence;
     wonAt = now();
-    formerLeaders = wonAt.plus(settings.hold());
+    formerLeaders = wonAt.plus(hold);
     attempts.begin(term);
     commits = 0;
     committing = false;
@@ -1120,9 +1123,7 @@
         && m.unheard == 0
         && !mute(m, now)
         && !now.isBefore(m.avoidUntil)
-        && Duration.between(m.heard, now)
-                .compareTo(settings.workers().report().multipliedBy(2).plusSeconds(1))
-            < 0;
+        && Duration.between(m.heard, now).compareTo(times.usable()) < 0;
   }
 
   private Map<String, Placer.Use> uses() {
@@ -1149,7 +1150,7 @@
           usable.add(m);
         }
       }
-      Instant heardSince = now.minus(settings.workers().report().multipliedBy(11).dividedBy(10));
+      Instant heardSince = now.minus(times.recent());
       Placer placer =
           new Placer(
               tuning,
@@ -1267,9 +1268,7 @@
    */
   private boolean leads() {
     Instant now = now();
-    return leading
-        && now.isBefore(evidence.plus(settings.hold()))
-        && now.isBefore(fresh.plus(settings.hold()));
+    return leading && now.isBefore(evidence.plus(hold)) && now.isBefore(fresh.plus(hold));
   }
 
   /**
@@ -1279,11 +1278,11 @@
    * taken over and hears everything late.
    */
   private boolean mayStart() {
-    return leads() && now().isBefore(fresh.plus(startKnowledge()));
+    return leads() && now().isBefore(fresh.plus(startKnowledge));
   }
 
-  private Duration startKnowledge() {
-    Duration half = settings.hold().dividedBy(2);
+  private static Duration startKnowledge(Duration hold) {
+    Duration half = hold.dividedBy(2);
     return half.compareTo(WATCH_AGE) > 0 ? half : WATCH_AGE;
   }
 
@@ -1372,11 +1371,11 @@
     Duration asking = PROBE_COST.multipliedBy(machines.size());
     boolean soonerThanReports =
         Fields.seconds(asking) / settings.cpuShare() < Fields.seconds(settings.workers().report());
-    probesFrom = soonerThanReports ? now() : now().plus(reportDue);
+    probesFrom = soonerThanReports ? now() : now().plus(times.reportDue());
     probeMore();
     if (!soonerThanReports) {
       long t = term;
-      loop.after(reportDue, () -> tell(new Probes(t)));
+      loop.after(times.reportDue(), () -> tell(new Probes(t)));
     }
   }
 
@@ -1794,8 +1793,8 @@
         && !m.faulty
         && m.takenAt.isEmpty()
         && m.answersSince.isEmpty()
-        && now.isBefore(m.heard.plus(reportDue))
-        && now.isBefore(m.renewed.plus(settings.workers().lease()));
+        && now.isBefore(m.heard.plus(times.reportDue()))
+        && now.isBefore(m.renewed.plus(times.lease()));
   }
 
   /** Looks after one machine: silence, death, idling. */
@@ -1825,7 +1824,7 @@
     }
     Instant spoke = spoke(m);
     Duration silence = Duration.between(spoke, now);
-    boolean quiet = silence.compareTo(reportDue) > 0;
+    boolean quiet = silence.compareTo(times.reportDue()) > 0;
     if (m.life == Life.UP
         && m.everReported
         && !m.lost
@@ -1841,8 +1840,7 @@
     // marked or an election. Other work is done again, the sooner the better.
     boolean serves = m.replicas() > 0;
     boolean few = silence(now).few();
-    Duration patience =
-        serves && (m.settled || !few) ? settings.workers().lease().dividedBy(2) : silentAfter();
+    Duration patience = serves && (m.settled || !few) ? times.halfLease() : times.silent();
     boolean deaf =
         m.life == Life.UP
             && !m.lost
@@ -1851,7 +1849,7 @@
             && (!m.placements.isEmpty() || !m.settled)
             && (few || (serves && silence(now).minority()));
     if (!m.faulty && m.takenAt.isEmpty() && m.life == Life.UP) {
-      if (now.isAfter(m.heard.plus(settings.workers().report().multipliedBy(4)))) {
+      if (now.isAfter(m.heard.plus(times.abandoned()))) {
         unplan(m);
       }
     } else {
@@ -1864,9 +1862,7 @@
     // the images that it has: those given back would have to be rented again, and boot, and fetch.
     int leases = silence(now).zones().contains(m.zone) ? LEASES_OF_A_CUT : 2;
     boolean silentLong =
-        m.lost
-            && now.isAfter(spoke.plus(settings.workers().lease().multipliedBy(leases)))
-            && m.life == Life.UP;
+        m.lost && now.isAfter(spoke.plus(times.lease().multipliedBy(leases))) && m.life == Life.UP;
     boolean takenAway =
         m.takenAt.isPresent()
             && now.isAfter(m.takenAt.get().plusSeconds(2))
@@ -1892,13 +1888,7 @@
    * report may find nobody for as long, and comes in time.
    */
   private boolean mute(Machine m, Instant now) {
-    Duration limit = settings.workers().lease().dividedBy(2);
-    return m.answersSince.map(t -> now.isAfter(t.plus(limit))).orElse(false);
-  }
-
-  /** How long a machine may say nothing before it counts as silent. */
-  private Duration silentAfter() {
-    return settings.workers().report().multipliedBy(9).dividedBy(5);
+    return m.answersSince.isPresent() && now.isAfter(m.answersSince.get().plus(times.halfLease()));
   }
 
   /**
@@ -1910,7 +1900,7 @@
   private Silence silence(Instant now) {
     if (silence.isEmpty()) {
       silence =
-          Optional.of(Silence.count(machines.values(), this::spoke, now.minus(silentAfter())));
+          Optional.of(Silence.count(machines.values(), this::spoke, now.minus(times.silent())));
     }
     return silence.get();
   }
@@ -1930,9 +1920,7 @@
   }
 
   private boolean leaseOver(Machine m, Instant now) {
-    Duration lease = settings.workers().lease();
-    // Steady clocks differ by up to 0.05 % each; twice that and a second on top.
-    return now.isAfter(m.renewed.plus(lease).plus(lease.dividedBy(500)).plusSeconds(1));
+    return now.isAfter(m.renewed.plus(times.leaseOver()));
   }
 
   private void retire(Machine m, String why) {
