--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -49,38 +49,10 @@
     XnioLoop loop = new XnioLoop(worker.getIoThread());
     XnioLoop renewalLoop = new XnioLoop(renewalWorker.getIoThread(), loop.clock());
     ByteBufferPool buffers = new DefaultByteBufferPool(false, 8192, 200, 4);
-    // Most sockets are for workers and users, who may all come to one controller when it is the
-    // only
-    // one left. What we open ourselves is closed when others need it.
-    HttpCalls calls =
-        new HttpCalls(
-            loop,
-            worker.getIoThread(),
-            buffers,
-            settings.sockets().called(),
-            settings.sockets().reserved(),
-            Set.copyOf(List.of(settings.state(), settings.cloud())));
+    HttpCalls calls = calls(settings, loop, buffers);
     HttpCalls renewalCalls =
         new HttpCalls(renewalLoop, renewalWorker.getIoThread(), buffers, RENEWAL_CONNECTIONS);
-    PeerLinks links =
-        new PeerLinks(
-            loop,
-            worker,
-            settings.host(),
-            PeerVersions.OF_THIS_BUILD.greeting(),
-            PeerVersions.OF_THIS_BUILD::accepts,
-            settings.peers(),
-            new Links.Receiver() {
-              @Override
-              public void received(String peer, byte[] frame) {
-                controller.fromPeer(peer, frame);
-              }
-
-              @Override
-              public void ended(String peer) {
-                controller.peerEnded(peer);
-              }
-            });
+    PeerLinks links = links(settings, loop);
     RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
     controller =
         new Controller(
@@ -114,6 +86,43 @@
         });
   }
 
+  /**
+   * Most sockets are for workers and users, who may all come to one controller when it is the only
+   * one left. What we open ourselves is closed when others need it.
+   */
+  private HttpCalls calls(Settings settings, XnioLoop loop, ByteBufferPool buffers) {
+    return new HttpCalls(
+        loop,
+        worker.getIoThread(),
+        buffers,
+        settings.sockets().called(),
+        settings.sockets().reserved(),
+        Set.copyOf(List.of(settings.state(), settings.cloud())));
+  }
+
+  private PeerLinks links(Settings settings, XnioLoop loop) {
+    Links.Receiver receiver =
+        new Links.Receiver() {
+          @Override
+          public void received(String peer, byte[] frame) {
+            controller.fromPeer(peer, frame);
+          }
+
+          @Override
+          public void ended(String peer) {
+            controller.peerEnded(peer);
+          }
+        };
+    return new PeerLinks(
+        loop,
+        worker,
+        settings.host(),
+        PeerVersions.OF_THIS_BUILD.greeting(),
+        PeerVersions.OF_THIS_BUILD::accepts,
+        settings.peers(),
+        receiver);
+  }
+
   /** A worker of one thread, which is all that a controller or a command needs. */
   static XnioWorker oneThread() throws IOException {
     return Xnio.getInstance()
--- a/src/main/java/io/pearscale/cli/SettingsReader.java
+++ b/src/main/java/io/pearscale/cli/SettingsReader.java
@@ -39,29 +39,7 @@
   }
 
   private Settings settings(JsonNode root) throws SettingsError {
-    Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
-    for (JsonNode p : root.path("peers")) {
-      peers.put(text(p, "host_name", "peers."), address(p, "address", "peers."));
-    }
     JsonNode facts = table(root, "facts", "");
-    List<Settings.Team> teams = new ArrayList<>();
-    for (JsonNode t : facts.path("teams")) {
-      teams.add(
-          new Settings.Team(
-              text(t, "name", "facts.teams."),
-              number(t, "cpus", "facts.teams.", 0),
-              number(t, "cpus_max", "facts.teams.", 0),
-              number(t, "gpus", "facts.teams.", 0),
-              number(t, "gpus_max", "facts.teams.", 0)));
-    }
-    List<Settings.Objective> objectives = new ArrayList<>();
-    for (JsonNode o : facts.path("objectives")) {
-      objectives.add(
-          new Settings.Objective(
-              text(o, "kind", "facts.objectives."),
-              o.path("class").asText(""),
-              Fields.duration(Math.max(0, o.path("within_s").asDouble(0)))));
-    }
     JsonNode workers = table(facts, "workers", "facts.");
     JsonNode state = table(facts, "state", "facts.");
     JsonNode cloud = table(facts, "cloud", "facts.");
@@ -71,11 +49,11 @@
         text(root, "domain", ""),
         address(root, "client_listen", ""),
         address(root, "back", ""),
-        peers,
+        peers(root),
         checkedAddress(services, "cloud", "endpoints."),
         checkedAddress(services, "state", "endpoints."),
-        teams,
-        objectives,
+        teams(facts),
+        objectives(facts),
         new Settings.Workers(
             seconds(workers, "report_s", "facts.workers."),
             seconds(workers, "lease_s", "facts.workers."),
@@ -92,6 +70,40 @@
         facts.path("limits").path("cpu_share").asDouble(1.0));
   }
 
+  private Map<String, InetSocketAddress> peers(JsonNode root) throws SettingsError {
+    Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
+    for (JsonNode p : root.path("peers")) {
+      peers.put(text(p, "host_name", "peers."), address(p, "address", "peers."));
+    }
+    return peers;
+  }
+
+  private List<Settings.Team> teams(JsonNode facts) throws SettingsError {
+    List<Settings.Team> teams = new ArrayList<>();
+    for (JsonNode t : facts.path("teams")) {
+      teams.add(
+          new Settings.Team(
+              text(t, "name", "facts.teams."),
+              number(t, "cpus", "facts.teams.", 0),
+              number(t, "cpus_max", "facts.teams.", 0),
+              number(t, "gpus", "facts.teams.", 0),
+              number(t, "gpus_max", "facts.teams.", 0)));
+    }
+    return teams;
+  }
+
+  private List<Settings.Objective> objectives(JsonNode facts) throws SettingsError {
+    List<Settings.Objective> objectives = new ArrayList<>();
+    for (JsonNode o : facts.path("objectives")) {
+      objectives.add(
+          new Settings.Objective(
+              text(o, "kind", "facts.objectives."),
+              o.path("class").asText(""),
+              Fields.duration(Math.max(0, o.path("within_s").asDouble(0)))));
+    }
+    return objectives;
+  }
+
   private JsonNode table(JsonNode from, String key, String where) throws SettingsError {
     JsonNode n = from.path(key);
     if (!n.isObject()) {
--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -765,6 +765,40 @@
    * @param hears whether it shows that what we say reaches the machine
    */
   private void absorb(Machine m, Report r, boolean hears) {
+    noteReported(m, r);
+    if (!m.settled) {
+      if (r.token() >> TERM_SHIFT != term) {
+        // It has not heard of this term, or is a late copy: it says nothing of what an old command
+        // may yet do, nor that the machine is alive.
+        return;
+      }
+      m.settled = true;
+      schedule();
+    }
+    noteAlive(m, r, hears);
+    Map<Ended, Long> oldEnded = new HashMap<>(m.ended);
+    m.ended.clear();
+    Map<Ended, Instant> oldForeign = new HashMap<>(m.foreign);
+    m.foreign.clear();
+    Set<Placement> seen = new HashSet<>();
+    for (TaskReport t : r.tasks()) {
+      if (t.stage() == Report.Stage.ENDED) {
+        absorbEnded(m, r, t, oldEnded);
+      } else {
+        absorbPresent(m, r, t, oldForeign).ifPresent(seen::add);
+      }
+    }
+    removeUnseen(m, r, seen);
+    if (m.takenAt.isPresent()) {
+      drain(m);
+    }
+    if (!m.foreign.isEmpty()) {
+      eager.add(m);
+    }
+  }
+
+  /** Takes in what a report says of the machine itself, whatever term it has heard of. */
+  private void noteReported(Machine m, Report r) {
     Instant now = now();
     if (r.session() > m.session && now.isAfter(m.renewed)) {
       // A session's lease runs from when it began, without any answer: what is started in it by
@@ -793,15 +827,11 @@
           m.spot,
           Duration.between(m.rented, now).toMillis());
     }
-    if (!m.settled) {
-      if (r.token() >> TERM_SHIFT != term) {
-        // It has not heard of this term, or is a late copy: it says nothing of what an old command
-        // may yet do, nor that the machine is alive.
-        return;
-      }
-      m.settled = true;
-      schedule();
-    }
+  }
+
+  /** Notes that a machine lives, and for how long it will. */
+  private void noteAlive(Machine m, Report r, boolean hears) {
+    Instant now = now();
     if (hears) {
       m.heard = now;
       if (m.missedProbes > 0) {
@@ -814,75 +844,80 @@
       log.info("event=spot_notice term={} machine={} left={}", term, m.name, r.notice().get());
     }
     m.takenAt = r.notice().map(now::plus);
-    Map<Ended, Long> oldEnded = new HashMap<>(m.ended);
-    m.ended.clear();
-    Map<Ended, Instant> oldForeign = new HashMap<>(m.foreign);
-    m.foreign.clear();
-    Set<Placement> seen = new HashSet<>();
-    for (TaskReport t : r.tasks()) {
+  }
+
+  /** The job of a reported task; empty when it is over or has no such task. */
+  private Optional<Job> jobOf(TaskReport t) {
+    return Optional.ofNullable(jobs.get(t.task().job()))
+        .filter(job -> t.task().index() < job.spec.tasks());
+  }
+
+  /** What is known of a reported attempt; one that a former leader gave is known from now on. */
+  private Optional<Placement> placementOf(Machine m, Report r, TaskReport t) {
+    Placement p = m.placements.get(t.task());
+    if (p != null && p.attempt < 0) {
+      p.attempt = t.attempt();
+      p.token = r.token();
+      p.session = r.session();
+    }
+    return Optional.ofNullable(p).filter(known -> known.attempt == t.attempt());
+  }
+
+  private void absorbEnded(Machine m, Report r, TaskReport t, Map<Ended, Long> oldEnded) {
+    Optional<Placement> placement = placementOf(m, r, t);
+    // What is done stays done however often it is started: no token need be raised for it.
+    long started = t.cause().equals("done") ? -1 : placement.map(p -> p.token).orElse(m.token);
+    Ended key = new Ended(t.task(), t.attempt());
+    m.ended.put(key, oldEnded.getOrDefault(key, started));
+    placement.ifPresent(this::remove);
+    ended(m, jobOf(t).orElse(null), t, placement.orElse(null));
+  }
+
+  /** Takes in a task that is on the machine; empty if it must not be there. */
+  private Optional<Placement> absorbPresent(
+      Machine m, Report r, TaskReport t, Map<Ended, Instant> oldForeign) {
+    Optional<Job> job = jobOf(t);
+    Optional<Placement> placement = placementOf(m, r, t);
+    if (placement.isEmpty() && job.isPresent() && !job.get().done.get(t.task().index())) {
+      placement = adopt(job.get(), m, r, t);
+    }
+    if (placement.isEmpty()) {
       Ended key = new Ended(t.task(), t.attempt());
-      Job job = jobs.get(t.task().job());
-      if (job != null && t.task().index() >= job.spec.tasks()) {
-        job = null;
-      }
-      Placement p = m.placements.get(t.task());
-      if (p != null && p.attempt < 0) {
-        p.attempt = t.attempt();
-        p.token = r.token();
-        p.session = r.session();
-      }
-      if (p != null && p.attempt != t.attempt()) {
-        p = null;
-      }
-      if (t.stage() == Report.Stage.ENDED) {
-        // What is done stays done however often it is started: no token need be raised for it.
-        long started = t.cause().equals("done") ? -1 : p != null ? p.token : m.token;
-        m.ended.put(key, oldEnded.getOrDefault(key, started));
-        if (p != null) {
-          remove(p);
-        }
-        ended(m, job, t, p);
-      } else if (p != null) {
-        seen.add(p);
-        progress(p, t.stage());
-      } else if (job == null || job.done.get(t.task().index())) {
-        m.foreign.put(key, oldForeign.getOrDefault(key, Instant.MIN));
-      } else {
-        Placement other = job.placed.get(t.task().index());
-        if (other != null && other.stage == Stage.PLANNED) {
-          remove(other);
-          other = null;
-        }
-        if (other != null) {
-          log.error(
-              "event=task_twice task={} machine={} other={}", t.task(), m.name, other.machine.name);
-          m.foreign.put(key, oldForeign.getOrDefault(key, Instant.MIN));
-        } else {
-          Placement adopted =
-              new Placement(job, t.task(), t.attempt(), m, Stage.SENT, job.submitted);
-          adopted.token = r.token();
-          adopted.session = r.session();
-          add(adopted);
-          mark(adopted);
-          seen.add(adopted);
-          progress(adopted, t.stage());
-        }
-      }
+      m.foreign.put(key, oldForeign.getOrDefault(key, Instant.MIN));
+    }
+    placement.ifPresent(p -> progress(p, t.stage()));
+    return placement;
+  }
+
+  /** Takes a task over that nobody knew to be here; empty if it is known to be elsewhere. */
+  private Optional<Placement> adopt(Job job, Machine m, Report r, TaskReport t) {
+    Placement other = job.placed.get(t.task().index());
+    if (other != null && other.stage == Stage.PLANNED) {
+      remove(other);
+      other = null;
     }
+    if (other != null) {
+      log.error(
+          "event=task_twice task={} machine={} other={}", t.task(), m.name, other.machine.name);
+      return Optional.empty();
+    }
+    Placement adopted = new Placement(job, t.task(), t.attempt(), m, Stage.SENT, job.submitted);
+    adopted.token = r.token();
+    adopted.session = r.session();
+    add(adopted);
+    mark(adopted);
+    return Optional.of(adopted);
+  }
+
+  /** What is not in the report is gone only if no command for it can still be on its way. */
+  private void removeUnseen(Machine m, Report r, Set<Placement> seen) {
     for (Placement p : List.copyOf(m.placements.values())) {
-      // Not in the report: gone only if no command for it can still be on its way.
       if (p.stage != Stage.PLANNED
           && !seen.contains(p)
           && (p.confirmed || p.session < r.session() || p.token < r.token())) {
         remove(p);
       }
     }
-    if (m.takenAt.isPresent()) {
-      drain(m);
-    }
-    if (!m.foreign.isEmpty()) {
-      eager.add(m);
-    }
   }
 
   private void progress(Placement p, Report.Stage stage) {
--- a/src/main/java/io/pearscale/transport/Actor.java
+++ b/src/main/java/io/pearscale/transport/Actor.java
@@ -27,6 +27,7 @@
   private int waiting;
   private boolean awake;
 
+  /** Makes an actor whose messages are handled on the loop, one after the other. */
   protected Actor(Loop loop) {
     this.loop = loop;
   }
