Refuse settings with too few sockets, and let check say what the sockets suffice for

Need: fd_limit and cpu_share were taken whatever they were: a text or 0 became no sockets at all, and the daemon started and served nobody. Nothing said for how many workers a setting is enough.

Change: both may be left out; what is there must be a number of at least 32, and 0.001. pearscale check prints in one line how many workers keep their connections, how many calls are made at a time and how many reports wait for an election. The bound above which connections are closed has its place in SocketShares, as the others.

Test: SettingsTest, seen failing before (settings were read).

--- a/src/main/java/io/pearscale/cli/Commands.java
+++ b/src/main/java/io/pearscale/cli/Commands.java
@@ -1,6 +1,7 @@
 package io.pearscale.cli;
 
 import io.pearscale.protocol.Settings;
+import io.pearscale.protocol.SocketShares;
 import io.pearscale.scheduler.Tuning;
 import java.nio.file.Path;
 import java.util.Optional;
@@ -76,6 +77,7 @@
         Settings s = files.settings();
         files.tuning();
         System.out.println("settings of " + s.host() + " are good");
+        System.out.println(sockets(s.maxConnections(), s.sockets()));
         return 0;
       } catch (SettingsError e) {
         System.err.println("pearscale: " + e.getMessage());
@@ -84,6 +86,12 @@
     }
   }
 
+  /** What the sockets of the settings suffice for. */
+  static String sockets(int fdLimit, SocketShares shares) {
+    return "fd_limit %d: up to %d workers keep their connections, more share them by turns; %d calls at a time; %d reports wait for an election"
+        .formatted(fdLimit, shares.kept(), shares.called(), shares.parkedReports());
+  }
+
   static final class Version implements IVersionProvider {
     @Override
     public String[] getVersion() {
--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -71,6 +71,7 @@
             worker,
             buffers,
             settings.sockets().served(),
+            settings.sockets().kept(),
             Controller.REPORTS::equals,
             controller::request);
     loop.after(SOCKETS_LOGGED, () -> logSockets(loop, calls));
--- a/src/main/java/io/pearscale/cli/SettingsReader.java
+++ b/src/main/java/io/pearscale/cli/SettingsReader.java
@@ -20,6 +20,13 @@
 
 /** Reads the platform's TOML. Keys that it doesn't know are passed over. */
 final class SettingsReader {
+  /** With fewer there would be none for some of the uses that they are divided among. */
+  private static final int LEAST_SOCKETS = 32;
+
+  private static final int USUAL_SOCKETS = 1000;
+  private static final double LEAST_CPU_SHARE = 0.001;
+  private static final double WHOLE_CORE = 1.0;
+
   private final Path file;
 
   private SettingsReader(Path file) {
@@ -66,8 +73,8 @@
         new Settings.Cloud(
             number(cloud, "rps", "facts.cloud.", 0.01),
             seconds(cloud, "list_lag_s", "facts.cloud.")),
-        (int) facts.path("limits").path("fd_limit").asDouble(1000),
-        facts.path("limits").path("cpu_share").asDouble(1.0));
+        (int) limit(facts, "fd_limit", LEAST_SOCKETS, USUAL_SOCKETS),
+        limit(facts, "cpu_share", LEAST_CPU_SHARE, WHOLE_CORE));
   }
 
   private Map<String, InetSocketAddress> peers(JsonNode root) throws SettingsError {
@@ -129,6 +136,13 @@
     return n.doubleValue();
   }
 
+  /** A limit of the machine that may be left out. */
+  private double limit(JsonNode facts, String key, double least, double otherwise)
+      throws SettingsError {
+    JsonNode limits = facts.path("limits");
+    return limits.hasNonNull(key) ? number(limits, key, "facts.limits.", least) : otherwise;
+  }
+
   private Duration seconds(JsonNode from, String key, String where) throws SettingsError {
     return Fields.duration(number(from, key, where, 0));
   }
--- a/src/main/java/io/pearscale/cli/WarmUp.java
+++ b/src/main/java/io/pearscale/cli/WarmUp.java
@@ -86,6 +86,7 @@
             worker,
             buffers,
             100,
+            100,
             path -> false,
             services::handle);
     stub.start();
--- a/src/main/java/io/pearscale/transport/HttpServer.java
+++ b/src/main/java/io/pearscale/transport/HttpServer.java
@@ -77,16 +77,18 @@
   /**
    * Prepares a server on the address, run by the worker.
    *
-   * @param yielding paths of those whose connections are closed when most are taken
+   * @param keptConnections how many may be open before connections are closed with their answers
+   * @param yielding paths of those whose connections are closed then
    */
   public HttpServer(
       InetSocketAddress address,
       XnioWorker worker,
       ByteBufferPool buffers,
       int maxConnections,
+      int keptConnections,
       Predicate<String> yielding,
       Handler handler) {
-    this.crowded = maxConnections * 17 / 20;
+    this.crowded = keptConnections;
     this.yielding = yielding;
     undertow =
         Undertow.builder()
--- a/src/test/java/io/pearscale/cli/SettingsTest.java
+++ b/src/test/java/io/pearscale/cli/SettingsTest.java
@@ -99,6 +99,9 @@
     assertTrue(refusal("host_name = \"hive-0\"", "host_name = 3").contains("expected a text"));
     assertTrue(refusal("[facts.state]", "[facts.other]").contains("facts.state"));
     assertTrue(refusal("domain", "= =").contains("expected TOML"));
+    assertTrue(refusal("fd_limit = 1000", "fd_limit = 3").contains("facts.limits.fd_limit"));
+    assertTrue(refusal("fd_limit = 1000", "fd_limit = \"all\"").contains("facts.limits.fd_limit"));
+    assertTrue(refusal("fd_limit = 1000", "cpu_share = 0").contains("facts.limits.cpu_share"));
     Path none = folder.resolve("none.toml");
     assertThrows(SettingsError.class, () -> SettingsReader.read(none));
   }
--- a/src/test/java/io/pearscale/cli/UpgradeCommandTest.java
+++ b/src/test/java/io/pearscale/cli/UpgradeCommandTest.java
@@ -46,6 +46,7 @@
             worker,
             new DefaultByteBufferPool(false, 8192, 8, 0),
             8,
+            8,
             path -> false,
             services::handle);
     server.start();
--- a/src/test/java/io/pearscale/transport/HttpServerTest.java
+++ b/src/test/java/io/pearscale/transport/HttpServerTest.java
@@ -42,6 +42,7 @@
             worker,
             new DefaultByteBufferPool(false, 8192, 8, 0),
             MOST,
+            MOST * 17 / 20,
             "/checkin"::equals,
             (method, path, body, respond) -> respond.accept(Response.of(200, MessagePack.map())));
     server.start();
