--- a/src/test/java/io/pearscale/sim/LargeFleetTest.java
+++ b/src/test/java/io/pearscale/sim/LargeFleetTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -16,24 +15,23 @@
   private static final List<String> ZONES = List.of("a", "b", "c");
 
   /** The workers of the large deployments report and keep their leases like this. */
-  private static World play(String day) {
+  private static FleetDay day() {
+    return new FleetDay(ZONES, PER_ZONE).add("workers report=4 lease=22 cancel=42");
+  }
+
+  private static void play(String day) {
     Scenario scenario = Scenario.of(day, 1);
-    World world = scenario.world();
-    world.report = Duration.ofSeconds(4);
-    world.lease = Duration.ofSeconds(22);
-    world.cancel = Duration.ofSeconds(42);
     List<String> failures = scenario.run();
     assertEquals(List.of(), failures.stream().limit(20).toList());
-    int tasks = world.starts.values().stream().mapToInt(n -> n).sum();
+    int tasks = scenario.world().starts.values().stream().mapToInt(n -> n).sum();
     assertTrue(tasks > 20_000, "tasks: " + tasks);
-    return world;
   }
 
   /** The leader ends, then a third of the machines is cut off, then the keys' history is lost. */
   @Test
   void aTakeoverThenTheLossOfAZone() {
     play(
-        new FleetDay(ZONES, PER_ZONE)
+        day()
             .add("at 25 crash leader")
             .add("at 29 start all")
             .cutOff(0, PER_ZONE - 1, 40, 75)
@@ -47,7 +45,7 @@
   @Test
   void cancelsThenAnOutageThenAnEndOfAll() {
     play(
-        new FleetDay(ZONES, PER_ZONE)
+        day()
             .cancelled(150, 2, 20)
             .add("at 24 call leader leader-then")
             .add("at 24.1 cut leader-then workers")
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -90,6 +90,11 @@
       case "build" -> build(w);
       case "drift" -> world.nodes.get(w.get(1)).drift = Double.parseDouble(w.get(2));
       case "cpu-share" -> world.cpuShare = Double.parseDouble(w.get(1));
+      case "workers" -> {
+        world.report = seconds(o.get("report"));
+        world.lease = seconds(o.get("lease"));
+        world.cancel = seconds(o.get("cancel"));
+      }
       case "zones" -> world.zones = w.subList(1, w.size());
       case "type" -> world.cloud.types.put(w.get(1), type(w.get(1), o));
       case "capacity" ->
