--- a/src/main/java/io/pearscale/protocol/Fields.java
+++ b/src/main/java/io/pearscale/protocol/Fields.java
@@ -9,7 +9,12 @@
 /** Checked access to the fields of a message. Null and absent are the same. */
 public final class Fields {
   private static final double MAX_SECONDS = 1e9;
-  private static final double MAX_AMOUNT = 1e9;
+
+  /** The largest amount that a message may name. */
+  static final double MAX_AMOUNT = 1e9;
+
+  /** The longest text of a message that is kept. */
+  static final int LONGEST_TEXT = 200;
 
   private Fields() {}
 
@@ -38,7 +43,7 @@
   /** A text of 1 to 200 characters. */
   public static String text(JsonNode map, String name) throws Malformed {
     String s = optText(map, name).orElseThrow(() -> new Malformed(name + ": missing"));
-    if (s.isEmpty() || s.length() > 200) {
+    if (s.isEmpty() || s.length() > LONGEST_TEXT) {
       throw new Malformed(name + ": 1 to 200 characters expected");
     }
     return s;
@@ -120,7 +125,7 @@
     }
     List<String> result = new ArrayList<>();
     for (JsonNode n : list(map, name)) {
-      if (!n.isTextual() || n.textValue().isEmpty() || n.textValue().length() > 200) {
+      if (!n.isTextual() || n.textValue().isEmpty() || n.textValue().length() > LONGEST_TEXT) {
         throw new Malformed(name + ": texts expected");
       }
       result.add(n.textValue());
--- a/src/main/java/io/pearscale/protocol/ReportReader.java
+++ b/src/main/java/io/pearscale/protocol/ReportReader.java
@@ -20,14 +20,12 @@
  * nothing but its cost.
  */
 public final class ReportReader {
-  private static final int LONGEST_TEXT = 200;
-  private static final double LARGEST_AMOUNT = 1e9;
   private static final String ABSENT = "";
   private static final long MISSING = -1;
 
   /** The library's own buffer for decoding is several times as large as a report. */
   private static final MessagePack.UnpackerConfig UNPACKER =
-      new MessagePack.UnpackerConfig().withStringDecoderBufferSize(LONGEST_TEXT);
+      new MessagePack.UnpackerConfig().withStringDecoderBufferSize(Fields.LONGEST_TEXT);
 
   private final MessageUnpacker in;
 
@@ -145,7 +143,7 @@
 
   private String text(String name) throws IOException, Malformed {
     String text = in.unpackString();
-    if (text.isEmpty() || text.length() > LONGEST_TEXT) {
+    if (text.isEmpty() || text.length() > Fields.LONGEST_TEXT) {
       throw new Malformed(name + ": 1 to 200 characters expected");
     }
     return text;
@@ -162,7 +160,7 @@
   private double amount(String name) throws IOException, Malformed {
     boolean isWhole = in.getNextFormat().getValueType() == ValueType.INTEGER;
     double amount = isWhole ? in.unpackBigInteger().doubleValue() : in.unpackDouble();
-    if (!(amount >= 0 && amount <= LARGEST_AMOUNT)) {
+    if (!(amount >= 0 && amount <= Fields.MAX_AMOUNT)) {
       throw new Malformed(name + ": a number of at least 0 expected");
     }
     return amount;
