--- a/src/main/java/io/pearscale/scheduler/AttemptNumbers.java
+++ b/src/main/java/io/pearscale/scheduler/AttemptNumbers.java
@@ -3,11 +3,11 @@
 /**
  * Numbers of attempts, which no two leaders may ever share: the term stands above the count. A
  * fleet of 4,000 machines with short tasks starts thousands a second and uses up 24 bits within
- * hours, after which the numbers would run into those of the next term; 32 bits last for weeks at
- * ten thousand a second.
+ * hours, after which the numbers would run into those of the next term; 40 bits last for years at
+ * ten thousand a second, and leave room for millions of terms.
  */
 final class AttemptNumbers {
-  private static final int TERM_SHIFT = 32;
+  private static final int TERM_SHIFT = 40;
   private static final long MOST = (1L << TERM_SHIFT) - 1;
 
   private long term;
