--- a/src/main/java/io/pearscale/cli/WarmUpServices.java
+++ b/src/main/java/io/pearscale/cli/WarmUpServices.java
@@ -3,11 +3,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.transport.Body;
 import io.pearscale.transport.HttpServer.Response;
 import io.pearscale.transport.MessagePack;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
@@ -27,9 +27,8 @@
   private String address = "127.0.0.1:1";
 
   /** Answers a request to any of them. */
-  synchronized void handle(
-      String method, String path, Optional<JsonNode> body, Consumer<Response> respond) {
-    JsonNode request = body.orElse(MessagePack.map());
+  synchronized void handle(String method, String path, Body body, Consumer<Response> respond) {
+    JsonNode request = body.tree().orElse(MessagePack.map());
     if (path.startsWith(KEYS) && !pairs.containsKey(path.substring(KEYS.length()))) {
       respond.accept(Response.of(404, MessagePack.map().put("epoch", epoch)));
     } else if (path.startsWith(KEYS)) {
--- a/src/main/java/io/pearscale/coordination/RelayActor.java
+++ b/src/main/java/io/pearscale/coordination/RelayActor.java
@@ -117,7 +117,7 @@
     } else {
       long exchange = ++exchanges;
       byte[] frame = PeerMessage.encode(new ForwardedReport(exchange, m.report));
-      if (links.connected().contains(leader.get()) && links.send(leader.get(), frame)) {
+      if (links.isConnected(leader.get()) && links.send(leader.get(), frame)) {
         open.put(exchange, new Exchange(loop.clock().instant().plus(patience), m.answer));
         planSweep();
       } else {
--- a/src/main/java/io/pearscale/protocol/Order.java
+++ b/src/main/java/io/pearscale/protocol/Order.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pearscale.transport.MessagePack;
+import java.io.IOException;
 import java.time.Duration;
+import org.msgpack.core.MessagePacker;
 
 /** A command to a worker. */
 public record Order(Verb verb, TaskId task, long attempt, Duration grace) {
@@ -34,6 +36,21 @@
     return new Order(Verb.CLEAR, task, attempt, Duration.ZERO);
   }
 
+  /** Writes what {@link #toNode} makes a tree of. */
+  void pack(MessagePacker out) throws IOException {
+    out.packMapHeader(verb == Verb.KILL ? 4 : 3);
+    out.packString("verb");
+    out.packString(verb.wire);
+    out.packString("piece");
+    out.packString(task.toString());
+    out.packString("try");
+    out.packLong(attempt);
+    if (verb == Verb.KILL) {
+      out.packString("leewayS");
+      out.packDouble(Fields.seconds(grace));
+    }
+  }
+
   /** As the worker reads it. */
   public ObjectNode toNode() {
     ObjectNode n =
--- a/src/main/java/io/pearscale/protocol/Report.java
+++ b/src/main/java/io/pearscale/protocol/Report.java
@@ -24,7 +24,17 @@
     FETCHING,
     RUNNING,
     FLUSHING,
-    ENDED
+    ENDED;
+
+    static Stage parse(String text) throws Malformed {
+      return switch (text) {
+        case "fetching", "waiting" -> FETCHING;
+        case "running" -> RUNNING;
+        case "flushing" -> FLUSHING;
+        case "ended" -> ENDED;
+        default -> throw new Malformed("stage: unknown");
+      };
+    }
   }
 
   /** One task of a report. The cause is empty unless it has ended. */
@@ -36,14 +46,7 @@
     List<TaskReport> tasks = new ArrayList<>();
     for (JsonNode t : Fields.list(m, "pieces")) {
       Fields.map(t);
-      Stage stage =
-          switch (Fields.text(t, "stage")) {
-            case "fetching", "waiting" -> Stage.FETCHING;
-            case "running" -> Stage.RUNNING;
-            case "flushing" -> Stage.FLUSHING;
-            case "ended" -> Stage.ENDED;
-            default -> throw new Malformed("stage: unknown");
-          };
+      Stage stage = Stage.parse(Fields.text(t, "stage"));
       tasks.add(
           new TaskReport(
               TaskId.parse(Fields.text(t, "piece")),
--- a/src/main/java/io/pearscale/protocol/ReportAnswer.java
+++ b/src/main/java/io/pearscale/protocol/ReportAnswer.java
@@ -1,7 +1,9 @@
 package io.pearscale.protocol;
 
-import io.pearscale.transport.MessagePack;
+import java.io.IOException;
 import java.util.List;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 /**
  * What the leader has to say to a report.
@@ -9,17 +11,30 @@
  * @param status 200 renews the worker's lease; anything else doesn't
  */
 public record ReportAnswer(int status, long token, List<Order> orders) {
+  /** The library's own buffer is many times as large as an answer. */
+  private static final MessagePack.PackerConfig PACKER =
+      new MessagePack.PackerConfig().withBufferSize(128);
+
   /** Nobody here may act for the controllers now. */
   public static final ReportAnswer UNAVAILABLE = new ReportAnswer(503, 0, List.of());
 
-  /** The body for the worker. */
-  public com.fasterxml.jackson.databind.node.ObjectNode toNode() {
-    var n = MessagePack.map();
-    if (status == 200) {
-      n.put("baton", token);
-      var list = n.putArray("orders");
-      orders.forEach(o -> list.add(o.toNode()));
+  /**
+   * The body for the worker. Most answers carry no command; they are written straight to bytes, as
+   * reports are read from them.
+   */
+  public byte[] encode() {
+    try (MessageBufferPacker out = PACKER.newBufferPacker()) {
+      out.packMapHeader(2);
+      out.packString("baton");
+      out.packLong(token);
+      out.packString("orders");
+      out.packArrayHeader(orders.size());
+      for (Order order : orders) {
+        order.pack(out);
+      }
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("memory does not fail", e);
     }
-    return n;
   }
 }
--- /dev/null
+++ b/src/main/java/io/pearscale/protocol/ReportReader.java
@@ -0,0 +1,184 @@
+package io.pearscale.protocol;
+
+import io.pearscale.protocol.Report.Stage;
+import io.pearscale.protocol.Report.TaskReport;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.msgpack.core.MessageFormat;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ValueType;
+
+/**
+ * Reads reports straight from their bytes. Reports are most of what a controller reads, and right
+ * after a start each costs several times as much as later, so they pay for no tree of objects. What
+ * is accepted and refused is the same as with {@link Report#parse}, from which it is told apart by
+ * nothing but its cost.
+ */
+public final class ReportReader {
+  private static final int LONGEST_TEXT = 200;
+  private static final double LARGEST_AMOUNT = 1e9;
+  private static final String ABSENT = "";
+  private static final long MISSING = -1;
+
+  /** The library's own buffer for decoding is several times as large as a report. */
+  private static final MessagePack.UnpackerConfig UNPACKER =
+      new MessagePack.UnpackerConfig().withStringDecoderBufferSize(LONGEST_TEXT);
+
+  private final MessageUnpacker in;
+
+  private String machine = ABSENT;
+  private String address = ABSENT;
+  private String type = ABSENT;
+  private String zone = ABSENT;
+  private Optional<Boolean> spot = Optional.empty();
+  private long session = MISSING;
+  private long sequence = MISSING;
+  private long token = MISSING;
+  private Optional<Duration> notice = Optional.empty();
+  private List<TaskReport> tasks = List.of();
+
+  private ReportReader(byte[] body) {
+    in = UNPACKER.newUnpacker(body);
+  }
+
+  /** Reads the report that the bytes begin with. */
+  public static Report read(byte[] body) throws Malformed {
+    try {
+      return new ReportReader(body).report();
+    } catch (IOException | MessagePackException e) {
+      throw new Malformed("report: " + e.getMessage());
+    }
+  }
+
+  private Report report() throws IOException, Malformed {
+    int fields = mapHeader();
+    for (int i = 0; i < fields; i++) {
+      field(fieldName());
+    }
+    return new Report(
+        present("hive", machine),
+        present("address", address),
+        present("breed", type),
+        present("yard", zone),
+        spot.orElseThrow(() -> new Malformed("windfall: missing")),
+        present("stint", session),
+        present("tally", sequence),
+        present("baton", token),
+        notice,
+        tasks);
+  }
+
+  private void field(String name) throws IOException, Malformed {
+    if (in.getNextFormat() == MessageFormat.NIL) {
+      in.unpackNil();
+      return;
+    }
+    switch (name) {
+      case "hive" -> machine = text(name);
+      case "address" -> address = text(name);
+      case "breed" -> type = text(name);
+      case "yard" -> zone = text(name);
+      case "windfall" -> spot = Optional.of(in.unpackBoolean());
+      case "stint" -> session = whole(name);
+      case "tally" -> sequence = whole(name);
+      case "baton" -> token = whole(name);
+      case "warningS" -> notice = Optional.of(Fields.duration(amount(name)));
+      case "pieces" -> tasks = tasks();
+      default -> in.skipValue();
+    }
+  }
+
+  private List<TaskReport> tasks() throws IOException, Malformed {
+    int count = in.unpackArrayHeader();
+    List<TaskReport> list = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      list.add(task());
+    }
+    return list;
+  }
+
+  private TaskReport task() throws IOException, Malformed {
+    String task = ABSENT;
+    String stage = ABSENT;
+    String cause = ABSENT;
+    long attempt = MISSING;
+    int fields = mapHeader();
+    for (int i = 0; i < fields; i++) {
+      String name = fieldName();
+      if (in.getNextFormat() == MessageFormat.NIL) {
+        in.unpackNil();
+        continue;
+      }
+      switch (name) {
+        case "piece" -> task = text(name);
+        case "try" -> attempt = whole(name);
+        case "stage" -> stage = text(name);
+        case "cause" -> cause = in.unpackString();
+        default -> in.skipValue();
+      }
+    }
+    Stage parsed = Stage.parse(present("stage", stage));
+    return new TaskReport(
+        TaskId.parse(present("piece", task)), present("try", attempt), parsed, cause);
+  }
+
+  private int mapHeader() throws IOException, Malformed {
+    if (in.getNextFormat().getValueType() != ValueType.MAP) {
+      throw new Malformed("not a map");
+    }
+    return in.unpackMapHeader();
+  }
+
+  /** The name of a field; one that is no text names nothing that is known. */
+  private String fieldName() throws IOException {
+    if (in.getNextFormat().getValueType() == ValueType.STRING) {
+      return in.unpackString();
+    }
+    in.skipValue();
+    return ABSENT;
+  }
+
+  private String text(String name) throws IOException, Malformed {
+    String text = in.unpackString();
+    if (text.isEmpty() || text.length() > LONGEST_TEXT) {
+      throw new Malformed(name + ": 1 to 200 characters expected");
+    }
+    return text;
+  }
+
+  private long whole(String name) throws IOException, Malformed {
+    long value = in.unpackLong();
+    if (value < 0) {
+      throw new Malformed(name + ": a whole number of at least 0 expected");
+    }
+    return value;
+  }
+
+  private double amount(String name) throws IOException, Malformed {
+    boolean isWhole = in.getNextFormat().getValueType() == ValueType.INTEGER;
+    double amount = isWhole ? in.unpackBigInteger().doubleValue() : in.unpackDouble();
+    if (!(amount >= 0 && amount <= LARGEST_AMOUNT)) {
+      throw new Malformed(name + ": a number of at least 0 expected");
+    }
+    return amount;
+  }
+
+  private static String present(String name, String text) throws Malformed {
+    if (text.isEmpty()) {
+      throw new Malformed(name + ": missing");
+    }
+    return text;
+  }
+
+  private static long present(String name, long value) throws Malformed {
+    if (value == MISSING) {
+      throw new Malformed(name + ": missing");
+    }
+    return value;
+  }
+}
--- a/src/main/java/io/pearscale/scheduler/Controller.java
+++ b/src/main/java/io/pearscale/scheduler/Controller.java
@@ -1,6 +1,5 @@
 package io.pearscale.scheduler;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.pearscale.coordination.ElectionActor;
 import io.pearscale.coordination.GrantKeeper;
 import io.pearscale.coordination.RelayActor;
@@ -13,12 +12,14 @@
 import io.pearscale.protocol.PeerMessage.LiveJobs;
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.ReportAnswer;
+import io.pearscale.protocol.ReportReader;
 import io.pearscale.protocol.Settings;
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.ReplicaActor;
 import io.pearscale.storage.ReplicaActor.Entry;
 import io.pearscale.storage.ReplicaActor.KeyChange;
 import io.pearscale.storage.StateClient;
+import io.pearscale.transport.Body;
 import io.pearscale.transport.Calls;
 import io.pearscale.transport.HttpServer.Response;
 import io.pearscale.transport.Links;
@@ -374,8 +375,7 @@
   }
 
   /** A request of a user, a worker or the load balancer. */
-  public void request(
-      String method, String path, Optional<JsonNode> body, Consumer<Response> respond) {
+  public void request(String method, String path, Body body, Consumer<Response> respond) {
     if (path.equals("/up") && method.equals("GET")) {
       respond.accept(
           useful()
@@ -384,7 +384,7 @@
     } else if (path.equals(REPORTS) && method.equals("POST")) {
       checkin(body, respond);
     } else if (path.equals("/work") && method.equals("POST")) {
-      toApi(new ApiActor.Submit(body, respond), respond);
+      toApi(new ApiActor.Submit(body.tree(), respond), respond);
     } else if (path.startsWith("/work/") && method.equals("GET")) {
       toApi(new ApiActor.Query(path.substring(6), respond), respond);
     } else if (path.startsWith("/work/") && path.endsWith("/cancel") && method.equals("POST")) {
@@ -402,10 +402,10 @@
     }
   }
 
-  private void checkin(Optional<JsonNode> body, Consumer<Response> respond) {
+  private void checkin(Body body, Consumer<Response> respond) {
     Report report;
     try {
-      report = Report.parse(body.orElseThrow(() -> new Malformed("MessagePack expected")));
+      report = ReportReader.read(body.bytes());
     } catch (Malformed e) {
       LOG.warn("event=report_malformed reason={}", e.getMessage());
       respond.accept(Response.of(400, MessagePack.map().put("error", e.getMessage())));
@@ -417,7 +417,7 @@
                 report,
                 (answer, elsewhere) -> {
                   if (answer.status() == 200) {
-                    respond.accept(Response.of(200, answer.toNode()));
+                    respond.accept(Response.of(200, answer.encode()));
                   } else if (elsewhere.isPresent()) {
                     respond.accept(
                         Response.of(421, MessagePack.map().put("foreman", elsewhere.get())));
--- a/src/main/java/io/pearscale/transport/HttpServer.java
+++ b/src/main/java/io/pearscale/transport/HttpServer.java
@@ -36,25 +36,37 @@
   private static final int LEAST_BACKLOG = 256;
 
   /** What a request is answered with. */
-  public record Response(int status, JsonNode body, Optional<Duration> retryAfter, boolean close) {
+  public record Response(int status, Body body, Optional<Duration> retryAfter, boolean close) {
     /** A plain answer. */
     public static Response of(int status, JsonNode body) {
-      return new Response(status, body, Optional.empty(), false);
+      return new Response(status, Body.of(body), Optional.empty(), false);
+    }
+
+    /** A plain answer whose body is encoded already. */
+    public static Response of(int status, byte[] body) {
+      return new Response(status, Body.of(body), Optional.empty(), false);
     }
 
     /** A refusal that tells the client when to come back; given at once, never held. */
     public static Response later(Duration when, String why) {
       return new Response(
-          503, MessagePack.map().put("error", why), Optional.of(when), /* close= */ true);
+          503, Body.of(MessagePack.map().put("error", why)), Optional.of(when), /* close= */ true);
     }
   }
 
   /** Handles a request; the consumer must be given exactly one response, now or later. */
   public interface Handler {
-    /** Called with the decoded body, or empty when it is absent or no MessagePack. */
-    void handle(String method, String path, Optional<JsonNode> body, Consumer<Response> respond);
+    /** Called with the whole body. */
+    void handle(String method, String path, Body body, Consumer<Response> respond);
   }
 
+  private static final Response UNREADABLE =
+      new Response(
+          400,
+          Body.of(MessagePack.map().put("error", "body unreadable or over 64 KiB")),
+          Optional.empty(),
+          /* close= */ true);
+
   private static final AttachmentKey<Boolean> COUNTED = AttachmentKey.create(Boolean.class);
 
   private final Undertow undertow;
@@ -119,33 +131,19 @@
 
   private void receive(HttpServerExchange exchange, Handler handler) {
     count(exchange.getConnection());
-    // A body that comes in several pieces is handed over inside a call of Undertow's, which ends
-    // the exchange with an empty 200 when it returns: each callback must leave that call first.
-    exchange
-        .getRequestReceiver()
-        .receiveFullBytes(
-            (ex, bytes) ->
-                ex.dispatch(SameThreadExecutor.INSTANCE, () -> handle(ex, bytes, handler)),
-            (ex, e) ->
-                ex.dispatch(
-                    SameThreadExecutor.INSTANCE,
-                    () ->
-                        respond(
-                            ex,
-                            new Response(
-                                400,
-                                MessagePack.map().put("error", "body unreadable or over 64 KiB"),
-                                Optional.empty(),
-                                true))));
+    BodyReader.read(
+        exchange,
+        MAX_BODY,
+        bytes -> handle(exchange, bytes, handler),
+        failure -> respond(exchange, UNREADABLE));
   }
 
   private void handle(HttpServerExchange exchange, byte[] bytes, Handler handler) {
-    Optional<JsonNode> body = bytes.length == 0 ? Optional.empty() : MessagePack.decode(bytes);
     try {
       handler.handle(
           exchange.getRequestMethod().toString(),
           exchange.getRequestPath(),
-          body,
+          Body.of(bytes),
           response -> respond(exchange, response));
     } catch (RuntimeException e) {
       // A user must never see a trace, whatever the request did to us.
@@ -175,8 +173,7 @@
             IoUtils.safeClose(ex.getConnection());
           });
     }
-    byte[] bytes =
-        response.body().isMissingNode() ? new byte[0] : MessagePack.encode(response.body());
+    byte[] bytes = response.body().bytes();
     exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/msgpack");
     exchange.setResponseContentLength(bytes.length);
     exchange.getResponseSender().send(ByteBuffer.wrap(bytes));
--- a/src/main/java/io/pearscale/transport/Links.java
+++ b/src/main/java/io/pearscale/transport/Links.java
@@ -10,6 +10,11 @@
   /** The peers that something was heard of lately. */
   Set<String> connected();
 
+  /** Whether something was heard lately of that peer. */
+  default boolean isConnected(String peer) {
+    return connected().contains(peer);
+  }
+
   /** Takes what the peers send. */
   interface Receiver {
     /** A whole record came in from the named peer. */
--- a/src/main/java/io/pearscale/transport/PeerLinks.java
+++ b/src/main/java/io/pearscale/transport/PeerLinks.java
@@ -117,13 +117,23 @@
     Instant limit = loop.clock().instant().minus(SILENCE);
     Set<String> result = new LinkedHashSet<>();
     for (Peer p : peers.values()) {
-      if (p.out != null && p.heard.isAfter(limit)) {
+      if (isConnected(p, limit)) {
         result.add(p.name);
       }
     }
     return result;
   }
 
+  @Override
+  public boolean isConnected(String peer) {
+    Peer p = peers.get(peer);
+    return p != null && isConnected(p, loop.clock().instant().minus(SILENCE));
+  }
+
+  private static boolean isConnected(Peer p, Instant limit) {
+    return p.out != null && p.heard.isAfter(limit);
+  }
+
   @Override
   public boolean send(String peer, byte[] frame) {
     Peer p = peers.get(peer);
@@ -292,9 +302,12 @@
     }
 
     private void take() throws IOException {
-      while (frame.hasRemaining() && chunk.hasRemaining()) {
-        frame.put(chunk.get());
-      }
+      // As a whole: byte by byte it took a tenth of the time of a leader whose code was not
+      // compiled.
+      int end = chunk.limit();
+      chunk.limit(Math.min(end, chunk.position() + frame.remaining()));
+      frame.put(chunk);
+      chunk.limit(end);
       if (frame.hasRemaining()) {
         return;
       }
--- /dev/null
+++ b/src/test/java/io/pearscale/protocol/ReportAnswerTest.java
@@ -0,0 +1,47 @@
+package io.pearscale.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.sun.management.ThreadMXBean;
+import io.pearscale.transport.MessagePack;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ReportAnswerTest {
+  private static final TaskId TASK = new TaskId("wk-000412", 4);
+
+  /** Encoding the tree of an answer without commands takes 1.3 kB, writing it half as much. */
+  private static final long MOST_BYTES = 800;
+
+  @Test
+  void theBytesAreThoseOfTheTree() {
+    List<Order> orders =
+        List.of(
+            Order.run(TASK, 1L << 40),
+            Order.kill(TASK, 7, Duration.ofMillis(2500)),
+            Order.clear(TASK, 3));
+    var tree = MessagePack.map().put("baton", 50331649L);
+    var list = tree.putArray("orders");
+    orders.forEach(order -> list.add(order.toNode()));
+    byte[] bytes = new ReportAnswer(200, 50331649L, orders).encode();
+    JsonNode read = MessagePack.decode(bytes).orElseThrow();
+    assertEquals(MessagePack.decode(MessagePack.encode(tree)).orElseThrow(), read);
+  }
+
+  @Test
+  void anAnswerWithoutCommandsPaysForNoTree() {
+    ReportAnswer answer = new ReportAnswer(200, 50331649L, List.of());
+    ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+    answer.encode();
+    long before = threads.getCurrentThreadAllocatedBytes();
+    for (int i = 0; i < 100; i++) {
+      answer.encode();
+    }
+    long each = (threads.getCurrentThreadAllocatedBytes() - before) / 100;
+    assertTrue(each < MOST_BYTES, "allocated: " + each);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/protocol/ReportReaderTest.java
@@ -0,0 +1,125 @@
+package io.pearscale.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.management.ThreadMXBean;
+import io.pearscale.transport.MessagePack;
+import java.lang.management.ManagementFactory;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+
+/** Reports read from their bytes, against the same reports read as trees. */
+class ReportReaderTest {
+  private static final int REPORTS = 2000;
+
+  /** The tree of such a report takes 5.9 kB, reading it from its bytes 3.1 kB. */
+  private static final long MOST_BYTES = 4000;
+
+  private final RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(11);
+
+  private static ObjectNode report(int tasks) {
+    ObjectNode report =
+        MessagePack.map()
+            .put("hive", "m-000231")
+            .put("address", "10.1.0.232:9000")
+            .put("breed", "g8")
+            .put("yard", "a")
+            .put("windfall", true)
+            .put("stint", 1)
+            .put("tally", 88)
+            .put("baton", 50331649L)
+            .putNull("warningS");
+    var list = report.putArray("pieces");
+    for (int i = 0; i < tasks; i++) {
+      list.addObject().put("piece", "wk-000412/" + i).put("try", i).put("stage", "running");
+    }
+    return report;
+  }
+
+  private static Optional<Report> asTree(byte[] body) {
+    try {
+      JsonNode tree = MessagePack.decode(body).orElseThrow(() -> new Malformed("none"));
+      return Optional.of(Report.parse(tree));
+    } catch (Malformed e) {
+      return Optional.empty();
+    }
+  }
+
+  private static Optional<Report> asBytes(byte[] body) {
+    try {
+      return Optional.of(ReportReader.read(body));
+    } catch (Malformed e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Fields that are missing, null, foreign, out of bounds or of another type. */
+  private void change(ObjectNode map) {
+    var names = map.fieldNames();
+    String name = names.next();
+    for (int skip = random.nextInt(map.size()); skip > 0; skip--) {
+      name = names.next();
+    }
+    switch (random.nextInt(9)) {
+      case 0 -> map.remove(name);
+      case 1 -> map.putNull(name);
+      case 2 -> map.put(name, random.nextInt());
+      case 3 -> map.put(name, random.nextDouble() * 50);
+      case 4 -> map.put(name, "x".repeat(random.nextInt(250)));
+      case 5 -> map.put(name, random.nextBoolean());
+      case 6 -> map.put("unknown", random.nextInt()).putArray("more").addObject().put("a", 1);
+      case 7 -> map.put(name, random.nextLong());
+      default -> map.put("cause", "done").put("stage", "ended").put("warningS", 7);
+    }
+  }
+
+  @Test
+  void whatIsAcceptedAndReadIsTheSameAsFromATree() {
+    int accepted = 0;
+    for (int i = 0; i < REPORTS; i++) {
+      ObjectNode report = report(random.nextInt(4));
+      for (int n = random.nextInt(3); n > 0; n--) {
+        JsonNode task = report.path("pieces").path(0);
+        change(task.isObject() && random.nextBoolean() ? (ObjectNode) task : report);
+      }
+      byte[] body = MessagePack.encode(report);
+      assertEquals(asTree(body), asBytes(body), report.toString());
+      accepted += asBytes(body).isPresent() ? 1 : 0;
+    }
+    assertTrue(accepted > REPORTS / 10 && accepted < REPORTS, "accepted: " + accepted);
+  }
+
+  @Test
+  void garbageIsMalformedAndNothingElse() {
+    for (int i = 0; i < REPORTS; i++) {
+      byte[] body = MessagePack.encode(report(2));
+      for (int n = 1 + random.nextInt(4); n > 0; n--) {
+        body[random.nextInt(body.length)] = (byte) random.nextInt();
+      }
+      byte[] cut = java.util.Arrays.copyOf(body, random.nextInt(body.length));
+      asBytes(body);
+      asBytes(cut);
+    }
+    assertThrows(Malformed.class, () -> ReportReader.read(new byte[0]));
+    assertThrows(Malformed.class, () -> ReportReader.read(MessagePack.encode(MessagePack.map())));
+  }
+
+  @Test
+  void aReportPaysForNoTree() throws Malformed {
+    byte[] body = MessagePack.encode(report(3));
+    ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+    ReportReader.read(body);
+    long before = threads.getCurrentThreadAllocatedBytes();
+    for (int i = 0; i < 100; i++) {
+      ReportReader.read(body);
+    }
+    long each = (threads.getCurrentThreadAllocatedBytes() - before) / 100;
+    assertTrue(each < MOST_BYTES, "allocated: " + each);
+  }
+}
