Take inventory, recovery, dispatch, health and writing out of SchedulerActor

Need: one class of 2,140 lines owned all that a leader knows, so that nobody could change one part of it without reading the rest; duties, drains and the standby each need such a part.

Change: SchedulerActor (379 lines) receives messages and wires parts which own their state: Leadership (term, proofs, tokens), JobTable, MachineCatalogue, MachineInventory, LeaderRecords and RecordWriter (what a successor is left, and the one transaction), LeaderRecovery, ReportProcessor and ReportHandler, FailureJudge, CommandDispatcher, MachineHealth, MachineRetirement, MachineSupply, PlacementPass, LeaderStatistics, TaskCounts. Seven private messages became one, a continuation that is void when its term is over. Names: stopping for doomed, stopsAtOnce for hurried, stop for doom, sendDue for kick, and so on. No decision was changed; the figures' log field doomed is stopping now.

--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/FailureJudge.java
@@ -0,0 +1,71 @@
+package io.pearscale.scheduler;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Tells faulty machines from mistaken jobs, by counting on both sides what failed. */
+final class FailureJudge {
+  private static final Logger LOG = LoggerFactory.getLogger(FailureJudge.class);
+
+  private final Leadership leadership;
+  private final MachineInventory inventory;
+  private final InstantSource clock;
+
+  FailureJudge(LeaderState state) {
+    this.leadership = state.leadership();
+    this.inventory = state.inventory();
+    this.clock = state.clock();
+  }
+
+  /**
+   * Errors of several jobs on one machine point at the machine; errors of one job on several
+   * machines point at the job. Both are counted, and until it is clear both are given a rest. A job
+   * that was submitted with a mistake fails on healthy machines: once it is known, they are not
+   * blamed for it, while the job is tried ever more rarely.
+   */
+  void failed(Machine m, Job job) {
+    Instant now = clock.instant();
+    job.failedOn.add(m.name);
+    m.noteFailure(job);
+    if (job.mistaken()) {
+      if (!now.isBefore(job.notBefore)) {
+        job.notBefore = now.plusSeconds(Math.min(60, 4L << Math.min(4, job.retries++)));
+      }
+      for (String name : job.failedOn) {
+        Machine other = inventory.get(name);
+        if (other != null && other.strikes() == 0) {
+          other.avoidUntil = Instant.MIN;
+        }
+      }
+    } else {
+      m.avoidUntil = now.plusSeconds(Math.min(60, 5L << Math.min(4, m.strikes())));
+    }
+    judge(m);
+  }
+
+  /** A task of the job was done. Where others failed before, the machine was at fault. */
+  void succeeded(Machine m, Job job) {
+    if (!job.succeeded) {
+      job.succeeded = true;
+      job.notBefore = Instant.MIN;
+      for (String name : job.failedOn) {
+        Optional.ofNullable(inventory.get(name)).ifPresent(this::judge);
+      }
+    }
+    m.noteSuccess();
+  }
+
+  private void judge(Machine m) {
+    if (!m.faulty && m.failsWhatItStarts()) {
+      m.faulty = true;
+      LOG.warn(
+          "event=machine_faulty term={} machine={} strikes={}",
+          leadership.term(),
+          m.name,
+          m.strikes());
+    }
+  }
+}
--- a/src/main/java/io/pearscale/scheduler/Fleet.java
+++ b/src/main/java/io/pearscale/scheduler/Fleet.java
@@ -259,7 +259,7 @@
       return;
     }
     for (Placement p : m.placements.values()) {
-      if (p.job.spec.service() && !p.doomed) {
+      if (p.job.spec.service() && !p.stopping) {
         moves--;
         plan.moves.add(p);
         return;
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/LeaderState.java
@@ -0,0 +1,17 @@
+package io.pearscale.scheduler;
+
+import java.time.InstantSource;
+
+/**
+ * What the parts of a leader share. Each component owns its own state and is asked and told by
+ * methods.
+ *
+ * @param requestPass asks for a pass over the jobs that wait
+ */
+record LeaderState(
+    Leadership leadership,
+    JobTable jobs,
+    MachineInventory inventory,
+    LeaderRecords records,
+    InstantSource clock,
+    Runnable requestPass) {}
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/LeaderStatistics.java
@@ -0,0 +1,92 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.scheduler.Placement.Stage;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.function.Predicate;
+import org.HdrHistogram.Histogram;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Figures for operators, and counts of tasks for users' questions. */
+final class LeaderStatistics {
+  private static final Logger LOG = LoggerFactory.getLogger(LeaderStatistics.class);
+  private static final Duration SPACING = Duration.ofSeconds(60);
+
+  /** Longer than that is recorded as that. */
+  private static final long LONGEST = 3_600_000;
+
+  private final Leadership leadership;
+  private final JobTable jobs;
+  private final MachineInventory inventory;
+  private final Histogram startMillis = new Histogram(3);
+  private final Histogram passMicros = new Histogram(3);
+  private Instant next = Instant.MIN;
+
+  LeaderStatistics(LeaderState state) {
+    this.leadership = state.leadership();
+    this.jobs = state.jobs();
+    this.inventory = state.inventory();
+  }
+
+  /** A task runs, so long after its start was decided. */
+  void started(Duration afterDecision) {
+    startMillis.recordValue(Math.max(0, Math.min(LONGEST, afterDecision.toMillis())));
+  }
+
+  /** A pass took so long. */
+  void passTook(Duration time) {
+    passMicros.recordValue(Math.min(LONGEST * 1000, time.toNanos() / 1000));
+  }
+
+  /** Logs the figures, unless that was done within a minute. */
+  void logIfDue(Instant now, Predicate<Machine> usable) {
+    if (now.isAfter(next)) {
+      next = now.plus(SPACING);
+      log(now, usable);
+      startMillis.reset();
+      passMicros.reset();
+    }
+  }
+
+  /** What an operator wants to see at a glance, once a minute. */
+  private void log(Instant now, Predicate<Machine> usable) {
+    int usableMachines = 0;
+    int faulty = 0;
+    int avoided = 0;
+    int[] stages = new int[Stage.values().length];
+    int stopping = 0;
+    double free = 0;
+    for (Machine m : inventory.all()) {
+      if (usable.test(m)) {
+        usableMachines++;
+        free += m.room().cpus;
+      }
+      faulty += m.faulty ? 1 : 0;
+      avoided += now.isBefore(m.avoidUntil) ? 1 : 0;
+      for (Placement p : m.placements.values()) {
+        stages[p.stage.ordinal()]++;
+        stopping += p.stopping ? 1 : 0;
+      }
+    }
+    LOG.info(
+        "event=figures term={} jobs={} waiting_tasks={} machines={} usable={} faulty={} avoided={}"
+            + " free_cpus={} stages={} stopping={} start_ms_p50={} start_ms_p99={} pass_us_p50={}"
+            + " pass_us_p99={}",
+        leadership.term(),
+        jobs.size(),
+        jobs.all().stream().mapToInt(Job::pending).sum(),
+        inventory.size(),
+        usableMachines,
+        faulty,
+        avoided,
+        free,
+        Arrays.toString(stages).replace(" ", ""),
+        stopping,
+        startMillis.getValueAtPercentile(50),
+        startMillis.getValueAtPercentile(99),
+        passMicros.getValueAtPercentile(50),
+        passMicros.getValueAtPercentile(99));
+  }
+}
--- a/src/main/java/io/pearscale/scheduler/Machine.java
+++ b/src/main/java/io/pearscale/scheduler/Machine.java
@@ -218,7 +218,7 @@
       for (Priority floor : Priority.values()) {
         Room r = new Room(type.cpus(), type.gpus(), type.memoryGb());
         for (Placement p : placements.values()) {
-          if (!p.doomed && p.job.spec.priority().compareTo(floor) >= 0) {
+          if (!p.stopping && p.job.spec.priority().compareTo(floor) >= 0) {
             r.take(p.job);
           }
         }
@@ -255,6 +255,11 @@
     return n;
   }
 
+  /** From when the machine has seen the next token, no command with an older one is executed. */
+  void raiseToken() {
+    token++;
+  }
+
   boolean inDoubt() {
     return doubtToken >= seenToken;
   }
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/MachineCatalogue.java
@@ -0,0 +1,48 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.protocol.MachineType;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** The machine types that the cloud offers, as they were last heard of. */
+final class MachineCatalogue {
+  private final Map<String, MachineType> types = new LinkedHashMap<>();
+
+  /** All types, as they are known at any time. */
+  Collection<MachineType> types() {
+    return Collections.unmodifiableCollection(types.values());
+  }
+
+  /** The names of all types. */
+  Set<String> names() {
+    return Collections.unmodifiableSet(types.keySet());
+  }
+
+  /** The type of that name. */
+  Optional<MachineType> find(String name) {
+    return Optional.ofNullable(types.get(name));
+  }
+
+  /** The type of that name; one without any room while it is not known. */
+  MachineType typeOf(String name) {
+    return find(name).orElseGet(() -> withoutRoom(name));
+  }
+
+  /** Takes a catalogue in; an empty one changes nothing. */
+  void update(List<MachineType> list) {
+    if (!list.isEmpty()) {
+      types.clear();
+      list.forEach(type -> types.put(type.name(), type));
+    }
+  }
+
+  private static MachineType withoutRoom(String name) {
+    return new MachineType(name, 0, 0, 0, 0, 0.1, 0, 0, Duration.ofSeconds(60), List.of());
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/MachineHealth.java
@@ -0,0 +1,263 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.scheduler.Machine.Life;
+import io.pearscale.scheduler.MachineRetirement.Reason;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Looks after machines one by one: finds those that are silent, that hear nothing, that do not
+ * report, that fail what they start or that never came up.
+ */
+final class MachineHealth {
+  private static final Logger LOG = LoggerFactory.getLogger(MachineHealth.class);
+
+  /**
+   * A cut-off zone is waited for so many leases, since its machines come back with their images.
+   */
+  private static final int LEASES_OF_A_CUT = 10;
+
+  private static final int LEASES_OF_A_SILENT_MACHINE = 2;
+
+  /** After so many probes without an answer a machine counts as deaf. */
+  private static final int DEAF_AFTER = 2;
+
+  /** So many times the usual time to boot, and a margin, are waited for. */
+  private static final int BOOT_PATIENCE = 4;
+
+  private static final Duration BOOT_MARGIN = Duration.ofSeconds(5);
+
+  /** A machine that the cloud takes is gone so long after its time, if it is silent so long. */
+  private static final Duration NOTICE_MARGIN = Duration.ofSeconds(2);
+
+  private static final Duration TAKEN_SILENCE = Duration.ofSeconds(3);
+
+  private final Leadership leadership;
+  private final MachineInventory inventory;
+  private final LeaderRecords records;
+  private final InstantSource clock;
+  private final WorkerTimes times;
+  private final CommandDispatcher dispatcher;
+  private final MachineRetirement retirement;
+  private Optional<Silence> silence = Optional.empty();
+
+  MachineHealth(
+      LeaderState state,
+      WorkerTimes times,
+      CommandDispatcher dispatcher,
+      MachineRetirement retirement) {
+    this.leadership = state.leadership();
+    this.inventory = state.inventory();
+    this.records = state.records();
+    this.clock = state.clock();
+    this.times = times;
+    this.dispatcher = dispatcher;
+    this.retirement = retirement;
+  }
+
+  /** Whether tasks may be placed on the machine. */
+  boolean usable(Machine m, Instant now) {
+    return m.life == Life.UP
+        && m.settled
+        && !m.lost
+        && !m.faulty
+        && m.takenAt.isEmpty()
+        && m.everReported
+        && m.unheard == 0
+        && !mute(m, now)
+        && !now.isBefore(m.avoidUntil)
+        && Duration.between(m.heard, now).compareTo(times.usable()) < 0;
+  }
+
+  /**
+   * Whether there is nothing to look after: the machine reports, hears, keeps its lease and is to
+   * stay. Nearly all machines are like this nearly always, so this is asked before all else.
+   */
+  private boolean healthy(Machine m, Instant now) {
+    return m.life == Life.UP
+        && m.settled
+        && !m.lost
+        && !m.faulty
+        && m.takenAt.isEmpty()
+        && m.answersSince.isEmpty()
+        && now.isBefore(m.heard.plus(times.reportDue()))
+        && now.isBefore(m.renewed.plus(times.lease()));
+  }
+
+  /** A round over the machines begins: how many are silent is counted anew. */
+  void beginRound() {
+    silence = Optional.empty();
+  }
+
+  /** Looks after one machine. */
+  void check(Machine m, Instant now) {
+    if (healthy(m, now)) {
+      return;
+    }
+    if (isLost(m, now)) {
+      noteLost(m);
+    }
+    probeIfSilent(m, now);
+    // What was only planned still counts as something to be freed from a machine that is deaf.
+    boolean deaf = isDeaf(m, now);
+    if (!mayKeepPlanned(m, now)) {
+      inventory.withdrawPlanned(m);
+    }
+    reasonToRetire(m, deaf, now).ifPresent(reason -> retirement.retire(m, reason));
+  }
+
+  /** Whether it was silent for longer than any lease that was ever renewed lasts. */
+  private boolean isLost(Machine m, Instant now) {
+    return m.everReported
+        && !m.lost
+        && !m.renewed.equals(Instant.MIN)
+        && now.isAfter(m.renewed.plus(times.leaseOver()));
+  }
+
+  /** Nothing can be alive on the machine. */
+  private void noteLost(Machine m) {
+    m.lost = true;
+    // Its worker has gone on to another session, and has to show that, with our token: reports of
+    // this one that a cut had held back say only what was.
+    m.settled = false;
+    m.session++;
+    m.sequence = -1;
+    m.ended.clear();
+    m.foreign.clear();
+    int dropped = m.placements.size();
+    List.copyOf(m.placements.values()).forEach(inventory::remove);
+    if (m.life == Life.UP) {
+      // A successor need not wait for it again. Before its next start it is recorded anew.
+      records.removeMachine(m);
+    }
+    LOG.warn("event=machine_lost term={} machine={} tasks={}", leadership.term(), m.name, dropped);
+  }
+
+  private void probeIfSilent(Machine m, Instant now) {
+    boolean silent = silentFor(m, now).compareTo(times.reportDue()) > 0;
+    boolean unseen = !m.settled && dispatcher.askedAll();
+    if (m.life == Life.UP
+        && m.everReported
+        && !m.lost
+        && (unseen || silent)
+        && !m.calling
+        && dispatcher.mayProbe()
+        && now.isAfter(m.directAfter)) {
+      dispatcher.probe(m);
+    }
+  }
+
+  /**
+   * Whether the machine answers nothing, and is worth being deleted for it. Replicas on a machine
+   * that is merely cut off still count and may serve: half of a lease is waited for them, the rest
+   * is kept for what may come between, an outage in which nothing can be recorded or an election.
+   * Other work is done again, the sooner the better.
+   */
+  private boolean isDeaf(Machine m, Instant now) {
+    boolean serves = m.replicas() > 0;
+    boolean few = silence(now).few();
+    Duration patience = serves && (m.settled || !few) ? times.halfLease() : times.silent();
+    return m.life == Life.UP
+        && !m.lost
+        && m.missedProbes >= DEAF_AFTER
+        && silentFor(m, now).compareTo(patience) > 0
+        && (!m.placements.isEmpty() || !m.settled)
+        && (few || (serves && silence(now).minority()));
+  }
+
+  /** Whether what was decided for the machine, but not sent, may stay decided. */
+  private boolean mayKeepPlanned(Machine m, Instant now) {
+    return !m.faulty
+        && m.takenAt.isEmpty()
+        && m.life == Life.UP
+        && !now.isAfter(m.heard.plus(times.abandoned()));
+  }
+
+  private Optional<Reason> reasonToRetire(Machine m, boolean deaf, Instant now) {
+    if (neverCame(m, now)) {
+      return Optional.of(Reason.NEVER_CAME);
+    }
+    if (wasTaken(m, now)) {
+      return Optional.of(Reason.TAKEN);
+    }
+    boolean empty = m.life == Life.UP && m.placements.isEmpty();
+    if (m.faulty && empty) {
+      return Optional.of(Reason.FAULTY);
+    }
+    if (deaf) {
+      return Optional.of(Reason.DEAF);
+    }
+    if (mute(m, now) && empty && silence(now).few()) {
+      return Optional.of(Reason.MUTE);
+    }
+    return isSilentForGood(m, now) ? Optional.of(Reason.SILENT) : Optional.empty();
+  }
+
+  private static boolean neverCame(Machine m, Instant now) {
+    Duration patience = m.type.boot().multipliedBy(BOOT_PATIENCE).plus(BOOT_MARGIN);
+    return m.life == Life.BOOTING && now.isAfter(m.rented.plus(patience));
+  }
+
+  private static boolean wasTaken(Machine m, Instant now) {
+    return m.takenAt.isPresent()
+        && now.isAfter(m.takenAt.get().plus(NOTICE_MARGIN))
+        && now.isAfter(m.heard.plus(TAKEN_SILENCE));
+  }
+
+  /**
+   * Whether nothing was heard for several leases. When most of a zone is silent, it is cut off, and
+   * its machines come back with it, each with the images that it has: those given back would have
+   * to be rented again, and boot, and fetch.
+   */
+  private boolean isSilentForGood(Machine m, Instant now) {
+    int leases =
+        silence(now).zones().contains(m.zone) ? LEASES_OF_A_CUT : LEASES_OF_A_SILENT_MACHINE;
+    return m.lost
+        && m.life == Life.UP
+        && now.isAfter(spoke(m).plus(times.lease().multipliedBy(leases)));
+  }
+
+  /** Zones of which nothing is heard. */
+  Set<String> silentZones(Instant now) {
+    return silence(now).zones();
+  }
+
+  private Duration silentFor(Machine m, Instant now) {
+    return Duration.between(spoke(m), now);
+  }
+
+  /**
+   * Whether a machine answers what it is asked but does not report. Only reports renew a lease, so
+   * all that runs there ends with it, however well the machine does what it is told. One that hung
+   * may answer first and report a moment later: it counts from its first answer. It is not given
+   * back while anything may run there: after a takeover, with a controller that stands still, a
+   * report may find nobody for as long, and comes in time.
+   */
+  private boolean mute(Machine m, Instant now) {
+    return m.answersSince.isPresent() && now.isAfter(m.answersSince.get().plus(times.halfLease()));
+  }
+
+  /**
+   * Deleting a silent machine proves it empty sooner than waiting for its lease. That is only worth
+   * it, and only believable, while nearly all others are heard: else it is we who are cut off. When
+   * a whole zone is silent and most machines are heard, those that hold replicas are worth it: a
+   * new leader would otherwise wait for a lease from its own election on, while nothing serves.
+   */
+  private Silence silence(Instant now) {
+    if (silence.isEmpty()) {
+      silence = Optional.of(Silence.count(inventory.all(), this::spoke, now.minus(times.silent())));
+    }
+    return silence.get();
+  }
+
+  /** When a machine was last heard; one that a new leader has not heard yet counts from its win. */
+  private Instant spoke(Machine m) {
+    return m.heard.isAfter(leadership.wonAt()) ? m.heard : leadership.wonAt();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/MachineInventory.java
@@ -0,0 +1,220 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.protocol.MachineType;
+import io.pearscale.protocol.Settings.Team;
+import io.pearscale.scheduler.Placement.Stage;
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+/**
+ * The machines that a leader knows, and which tasks may be on each of them.
+ *
+ * <p>The rule that it serves: a task is taken to be on a machine from before its start command is
+ * sent until one of four proofs says that it is gone: a report that has seen a token above the
+ * command's, a later session, the cloud's answer to a deletion, or silence that outlasts any lease.
+ * Whoever calls {@link #remove} has such a proof.
+ */
+final class MachineInventory {
+  private final MachineCatalogue catalogue;
+  private final Map<String, Team> teams;
+  private final Leadership leadership;
+  private final JobTable jobs;
+  private final LeaderRecords records;
+  private final InstantSource clock;
+  private final Runnable requestPass;
+  private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final RemovedMachines removed = new RemovedMachines();
+  private final Set<Machine> withCommands = new LinkedHashSet<>();
+
+  /** Makes an empty inventory. */
+  MachineInventory(
+      MachineCatalogue catalogue,
+      Map<String, Team> teams,
+      Leadership leadership,
+      JobTable jobs,
+      LeaderRecords records,
+      InstantSource clock,
+      Runnable requestPass) {
+    this.catalogue = catalogue;
+    this.teams = teams;
+    this.leadership = leadership;
+    this.jobs = jobs;
+    this.records = records;
+    this.clock = clock;
+    this.requestPass = requestPass;
+  }
+
+  /** The machine types that are known. */
+  MachineCatalogue catalogue() {
+    return catalogue;
+  }
+
+  /** Takes a catalogue in. A worker may have reported before its type was known. */
+  void updateCatalogue(List<MachineType> types) {
+    catalogue.update(types);
+    for (Machine machine : machines.values()) {
+      machine.type = catalogue.find(machine.type.name()).orElse(machine.type);
+      machine.touch();
+    }
+  }
+
+  // ---- Machines ----
+
+  /** The machine of that name; null when there is none. */
+  Machine get(String name) {
+    return machines.get(name);
+  }
+
+  /** Whether it still has this very machine. */
+  boolean contains(Machine machine) {
+    return machines.get(machine.name) == machine;
+  }
+
+  Collection<Machine> all() {
+    return Collections.unmodifiableCollection(machines.values());
+  }
+
+  int size() {
+    return machines.size();
+  }
+
+  /** Whether a machine of this name is known to be gone. */
+  boolean isRemoved(String name) {
+    return removed.contains(name);
+  }
+
+  /** Adds a machine that was not there in this term before. */
+  void add(Machine machine) {
+    machine.token = leadership.firstToken();
+    machines.put(machine.name, machine);
+  }
+
+  /**
+   * Adds a machine that a former leader may have known, and on which it may have renewed leases.
+   */
+  void addFormer(Machine machine) {
+    add(machine);
+    machine.renewed = leadership.formerLeadersUntil();
+  }
+
+  /** The cloud says that the machine, and all that was on it, is gone. */
+  void deleted(String name) {
+    Machine machine = machines.remove(name);
+    removed.note(name, clock.instant());
+    if (machine == null) {
+      return;
+    }
+    List.copyOf(machine.placements.values()).forEach(this::remove);
+    records.removeMachine(machine);
+    requestPass.run();
+  }
+
+  /** Forgets all, since this controller does not lead any more. */
+  void clear() {
+    machines.clear();
+    withCommands.clear();
+  }
+
+  // ---- Tasks on machines ----
+
+  /** From now on the task may be on the machine. */
+  void add(Placement placement) {
+    placement.machine.add(placement);
+    placement.job.add(placement);
+    jobs.requeue(placement.job);
+    if (placement.stage == Stage.PLANNED) {
+      noteCommandDue(placement.machine);
+    }
+  }
+
+  /** It is proven that the task is not on the machine. */
+  void remove(Placement placement) {
+    Job job = placement.job;
+    placement.machine.remove(placement);
+    job.remove(placement);
+    if (placement.ranFor(clock.instant()).compareTo(Job.A_START) >= 0) {
+      job.begun = true;
+    }
+    if (job.placed.isEmpty() && !jobs.contains(job)) {
+      records.removeJob(job);
+    }
+    jobs.requeue(job);
+    requestPass.run();
+  }
+
+  /** Decides that a task must go from where it is. */
+  void stop(Placement placement) {
+    if (placement.stage == Stage.PLANNED) {
+      remove(placement);
+      return;
+    }
+    if (placement.stopping) {
+      return;
+    }
+    placement.stopping = true;
+    placement.machine.touch();
+    noteCommandDue(placement.machine);
+    if (!placement.confirmed && placement.attempt >= 0 && !placement.machine.calling) {
+      // The start command may still be on its way; only a higher token can overtake it.
+      placement.machine.raiseToken();
+    }
+  }
+
+  /** Takes back what was decided for a machine that turned bad before the start was sent. */
+  void withdrawPlanned(Machine machine) {
+    for (Placement placement : List.copyOf(machine.placements.values())) {
+      if (placement.stage == Stage.PLANNED) {
+        remove(placement);
+      }
+    }
+  }
+
+  /** What each team has in use, counting all that may be on a machine. */
+  Map<String, Placer.Use> uses() {
+    Map<String, Placer.Use> uses = new HashMap<>();
+    if (teams.values().stream().noneMatch(Team::bounded)) {
+      return uses;
+    }
+    for (Machine machine : machines.values()) {
+      for (Placement placement : machine.placements.values()) {
+        Placer.charge(uses, placement.job.spec, 1);
+      }
+    }
+    return uses;
+  }
+
+  // ---- Commands that wait ----
+
+  /** Something is to be told to the machine. */
+  void noteCommandDue(Machine machine) {
+    withCommands.add(machine);
+  }
+
+  /**
+   * Offers each machine that something is to be told to.
+   *
+   * @param send sends what may be sent now
+   * @param stillDue whether something still waits afterwards
+   */
+  void forEachWithCommands(Consumer<Machine> send, Predicate<Machine> stillDue) {
+    for (Iterator<Machine> it = withCommands.iterator(); it.hasNext(); ) {
+      Machine machine = it.next();
+      if (contains(machine)) {
+        send.accept(machine);
+      }
+      if (!contains(machine) || !stillDue.test(machine)) {
+        it.remove();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/MachineRetirement.java
@@ -0,0 +1,99 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.scheduler.Machine.Life;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Gives machines back: first it is recorded that they are never used again, since a late deletion
+ * may still reach them, then the cloud is asked.
+ */
+final class MachineRetirement {
+  private static final Logger LOG = LoggerFactory.getLogger(MachineRetirement.class);
+
+  /** Why a machine is given back. */
+  enum Reason {
+    /** It did not come up in several times the usual time. */
+    NEVER_CAME,
+    /** The cloud has taken it, as it said it would. */
+    TAKEN,
+    /** It fails what it starts. */
+    FAULTY,
+    /** It does not answer, while others do. */
+    DEAF,
+    /** It answers, but does not report. */
+    MUTE,
+    /** Nothing was heard of it for longer than any lease. */
+    SILENT,
+    /** It is not needed. */
+    SPARE,
+    /** The cloud says that it stopped. */
+    FAILED,
+    /** The cloud does not list it any more. */
+    NOT_LISTED;
+
+    String text() {
+      return name().toLowerCase(Locale.ROOT);
+    }
+  }
+
+  /** The cloud deletes so many machines with one request. */
+  private static final int MOST_DELETED = 100;
+
+  private final Leadership leadership;
+  private final MachineInventory inventory;
+  private final LeaderRecords records;
+  private final CloudActor cloud;
+
+  MachineRetirement(LeaderState state, CloudActor cloud) {
+    this.leadership = state.leadership();
+    this.inventory = state.inventory();
+    this.records = state.records();
+    this.cloud = cloud;
+  }
+
+  /** The machine is not used any more; it is deleted once that is durable. */
+  void retire(Machine machine, Reason reason) {
+    if (machine.life == Life.RETIRING) {
+      return;
+    }
+    LOG.info(
+        "event=give_back term={} machine={} why={}",
+        leadership.term(),
+        machine.name,
+        reason.text());
+    machine.life = Life.RETIRING;
+    records.assignPlace(machine);
+    records.recordMachineNow(machine);
+  }
+
+  /** Asks the cloud to delete what is durably recorded as retiring. */
+  void deleteRetired() {
+    List<String> names = new ArrayList<>();
+    for (Machine machine : inventory.all()) {
+      if (machine.life == Life.RETIRING
+          && machine.recordedRetiring
+          && !machine.deleteSent
+          && names.size() < MOST_DELETED) {
+        machine.deleteSent = true;
+        names.add(machine.name);
+      }
+    }
+    if (!names.isEmpty()) {
+      cloud.tell(new CloudActor.Delete(names));
+    }
+  }
+
+  /** The cloud has not deleted the machines, as far as known: it is asked again. */
+  void notDeleted(List<String> names) {
+    for (String name : names) {
+      Machine machine = inventory.get(name);
+      if (machine != null) {
+        machine.deleteSent = false;
+      }
+    }
+  }
+}
--- a/src/main/java/io/pearscale/scheduler/Placement.java
+++ b/src/main/java/io/pearscale/scheduler/Placement.java
@@ -40,10 +40,10 @@
   boolean confirmed;
 
   /** To be stopped. */
-  boolean doomed;
+  boolean stopping;
 
   /** To be stopped without saving: what is to start instead can't wait for that. */
-  boolean hurried;
+  boolean stopsAtOnce;
 
   Instant killSent = Instant.MIN;
   int kills;
--- a/src/main/java/io/pearscale/scheduler/Placer.java
+++ b/src/main/java/io/pearscale/scheduler/Placer.java
@@ -463,7 +463,7 @@
       }
       List<Placement> candidates = new ArrayList<>();
       for (Placement p : m.placements.values()) {
-        if (!p.doomed && !sheltered(p) && mayEvict(job, p, guaranteed)) {
+        if (!p.stopping && !sheltered(p) && mayEvict(job, p, guaranteed)) {
           candidates.add(p);
         }
       }
@@ -536,7 +536,7 @@
     Room r = room(p.machine);
     Room trial = new Room(r.cpus, r.gpus, r.memoryGb);
     trial.give(p.job);
-    return !p.doomed
+    return !p.stopping
         && p.stage == Placement.Stage.RUNNING
         && v.service()
         && !v.oneZone()
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/RecordWriter.java
@@ -0,0 +1,247 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.protocol.Fields;
+import io.pearscale.protocol.Settings;
+import io.pearscale.storage.Keys;
+import io.pearscale.storage.Roster;
+import io.pearscale.storage.StateClient;
+import io.pearscale.transport.Calls.Reply;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.function.LongConsumer;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes all that is due in one transaction after the other, each guarded by the term. A
+ * transaction of unknown outcome is followed by a look at the term's key, which every transaction
+ * changes.
+ */
+final class RecordWriter {
+  private static final Logger LOG = LoggerFactory.getLogger(RecordWriter.class);
+
+  /** A commit follows the one before after this time at the earliest. */
+  private static final Duration COMMIT_SPACING = Duration.ofMillis(40);
+
+  /** Half of all writes is left to users. */
+  private static final double LEADERS_SHARE = 0.5;
+
+  /** After a refusal the next try waits for this time, and up to the spread longer. */
+  private static final Duration RETRY_PAUSE = Duration.ofMillis(150);
+
+  private static final int RETRY_SPREAD_MILLIS = 200;
+
+  /** After a transaction without an answer the term is read this much later. */
+  private static final Duration READ_PAUSE = Duration.ofMillis(300);
+
+  /** After a refused one it is read at once. */
+  private static final Duration AT_ONCE = Duration.ofMillis(1);
+
+  private final Leadership leadership;
+  private final JobTable jobs;
+  private final MachineInventory inventory;
+  private final LeaderRecords records;
+  private final InstantSource clock;
+  private final Settings settings;
+  private final StateClient state;
+  private final TermExecutor executor;
+  private final RandomGenerator random;
+  private final LongConsumer higherTerm;
+  private final CommandDispatcher dispatcher;
+  private final MachineRetirement retirement;
+  private long commits;
+  private boolean committing;
+  private boolean planned;
+  private boolean heartbeatDue;
+  private Instant lastCommit = Instant.MIN;
+  private int lastChanges;
+
+  /**
+   * Makes a writer.
+   *
+   * @param higherTerm is told of a higher term than ours
+   */
+  RecordWriter(
+      LeaderState shared,
+      Settings settings,
+      StateClient state,
+      TermExecutor executor,
+      RandomGenerator random,
+      LongConsumer higherTerm,
+      CommandDispatcher dispatcher,
+      MachineRetirement retirement) {
+    this.leadership = shared.leadership();
+    this.jobs = shared.jobs();
+    this.inventory = shared.inventory();
+    this.records = shared.records();
+    this.clock = shared.clock();
+    this.settings = settings;
+    this.state = state;
+    this.executor = executor;
+    this.random = random;
+    this.higherTerm = higherTerm;
+    this.dispatcher = dispatcher;
+    this.retirement = retirement;
+  }
+
+  /** A term has begun: nothing is under way in it. */
+  void begin() {
+    commits = 0;
+    committing = false;
+    planned = false;
+  }
+
+  /** The leader is to show that it lives, by a write if there is none to be made anyway. */
+  void heartbeat() {
+    heartbeatDue = true;
+    plan();
+  }
+
+  /** Asks for a transaction. */
+  void plan() {
+    if (planned || committing || !leadership.leading()) {
+      return;
+    }
+    planned = true;
+    Duration wait = untilNextCommit();
+    if (wait.isNegative() || wait.isZero()) {
+      // After this message: what the rest of the pass decides goes along.
+      executor.execute(this::commit);
+    } else {
+      executor.after(wait, this::commit);
+    }
+  }
+
+  /** Asks for a transaction if something is due. */
+  void planIfDue() {
+    if (records.isDue()) {
+      plan();
+    }
+  }
+
+  /** A commit pays for its changes with the time until the next one. */
+  private Duration untilNextCommit() {
+    if (lastCommit.equals(Instant.MIN)) {
+      return Duration.ZERO;
+    }
+    double rate = LEADERS_SHARE * settings.stateLimits().writeRps();
+    Duration pause = Fields.duration(lastChanges / rate);
+    if (pause.compareTo(COMMIT_SPACING) < 0) {
+      pause = COMMIT_SPACING;
+    }
+    return pause.minus(Duration.between(lastCommit, clock.instant()));
+  }
+
+  /** Writes all that is due in one transaction, guarded by the term. */
+  private void commit() {
+    planned = false;
+    if (committing || !leadership.ready()) {
+      return;
+    }
+    LeaderTransaction transaction =
+        new LeaderTransaction(
+            settings.stateLimits().txnOps(), leadership.term(), leadership.termStamp(), ++commits);
+    records.fill(transaction, inventory.catalogue().types());
+    if (transaction.isEmpty() && !heartbeatDue) {
+      return;
+    }
+    heartbeatDue = false;
+    committing = true;
+    lastCommit = clock.instant();
+    lastChanges = transaction.changes().size();
+    state.commit(
+        transaction.guards(),
+        transaction.changes(),
+        executor.callback(reply -> committed(transaction, reply)));
+  }
+
+  private void committed(LeaderTransaction transaction, Reply reply) {
+    if (reply.ok()) {
+      committing = false;
+      leadership.termStampIs(reply.body().path("epoch").asLong(leadership.termStamp()));
+      applied(transaction);
+      planIfDue();
+      return;
+    }
+    records.writeAgain(transaction);
+    List<String> failed = reply.status() == 409 ? StateClient.failedGuards(reply) : List.of();
+    if (reply.status() == 0 || failed.contains(Keys.TERM)) {
+      executor.after(reply.status() == 0 ? READ_PAUSE : AT_ONCE, this::readTerm);
+    } else if (failed.contains(Keys.LEVEL)) {
+      // The level of stored forms was switched: the watch says whether this build supports it.
+      LOG.info("event=commit_under_former_level term={}", leadership.term());
+      committing = false;
+      retry();
+    } else if (reply.status() == 409) {
+      // Somebody was faster with these jobs, by cancelling them; the watch brings the news.
+      committing = false;
+      transaction.finished().stream()
+          .filter(job -> failed.contains(Keys.live(job.spec.id())))
+          .forEach(records::withdrawEnd);
+      plan();
+    } else {
+      LOG.info("event=commit_put_off term={} status={}", leadership.term(), reply.status());
+      committing = false;
+      retry();
+    }
+  }
+
+  private void retry() {
+    planned = true;
+    executor.after(RETRY_PAUSE.plusMillis(random.nextInt(RETRY_SPREAD_MILLIS)), this::commit);
+  }
+
+  private void readTerm() {
+    state.read(Keys.TERM, executor.callback(this::termRead));
+  }
+
+  /** After a transaction of unknown outcome: is the term still ours, and at which stamp? */
+  private void termRead(Reply reply) {
+    if (!reply.ok()) {
+      executor.after(READ_PAUSE.plusMillis(random.nextInt(RETRY_SPREAD_MILLIS)), this::readTerm);
+      return;
+    }
+    long found = reply.body().path("value").path("term").asLong();
+    if (found > leadership.term()) {
+      higherTerm.accept(found);
+      return;
+    }
+    // Applied or not: what is due is still marked as due and goes out again, guarded by the
+    // stamp as it is now. Should the old transaction come after all, it will find another one.
+    leadership.termStampIs(reply.body().path("stamp").asLong(leadership.termStamp()));
+    committing = false;
+    retry();
+  }
+
+  private void applied(LeaderTransaction transaction) {
+    records.written(transaction);
+    transaction.machines().forEach(this::recorded);
+    transaction.finished().forEach(this::ended);
+    dispatcher.sendAllDue();
+    retirement.deleteRetired();
+  }
+
+  private void recorded(Roster.Entry entry) {
+    Machine machine = inventory.get(entry.machine());
+    if (machine != null && records.hasPlace(machine)) {
+      machine.recorded = true;
+      machine.recordedRetiring = entry.retiring();
+      machine.recordedAddress = entry.address();
+    }
+  }
+
+  private void ended(Job job) {
+    jobs.remove(job.spec.id());
+    records.close(job);
+    job.durableDone.or(job.done);
+    LOG.info(
+        "event=job_done term={} job={} after_ms={}",
+        leadership.term(),
+        job.spec.id(),
+        Duration.between(job.submitted, clock.instant()).toMillis());
+    List.copyOf(job.placed.values()).forEach(inventory::stop);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/ReportProcessor.java
@@ -0,0 +1,319 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.protocol.JobSpec;
+import io.pearscale.protocol.Report;
+import io.pearscale.protocol.Report.TaskReport;
+import io.pearscale.scheduler.Machine.Ended;
+import io.pearscale.scheduler.Machine.Life;
+import io.pearscale.scheduler.Placement.Stage;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes in what workers say, from whichever way it came, and with it the proofs of where tasks are
+ * and are not.
+ */
+final class ReportProcessor {
+  private static final Logger LOG = LoggerFactory.getLogger(ReportProcessor.class);
+
+  /** Whoever refused a start is left alone for so long. */
+  private static final Duration REFUSAL_PAUSE = Duration.ofSeconds(2);
+
+  private final Leadership leadership;
+  private final JobTable jobs;
+  private final MachineInventory inventory;
+  private final LeaderRecords records;
+  private final InstantSource clock;
+  private final Runnable requestPass;
+  private final FailureJudge failures;
+  private final LeaderStatistics statistics;
+
+  ReportProcessor(LeaderState state, FailureJudge failures, LeaderStatistics statistics) {
+    this.leadership = state.leadership();
+    this.jobs = state.jobs();
+    this.inventory = state.inventory();
+    this.records = state.records();
+    this.clock = state.clock();
+    this.requestPass = state.requestPass();
+    this.failures = failures;
+    this.statistics = statistics;
+  }
+
+  /**
+   * Takes in what a worker says, from whichever way it came. The message must be a newer one.
+   *
+   * @param received whether it shows that what we say reaches the machine
+   */
+  void absorb(Machine m, Report r, boolean received) {
+    noteReported(m, r);
+    if (!m.settled) {
+      if (!leadership.isOfThisTerm(r.token())) {
+        // It has not heard of this term, or is a late copy: it says nothing of what an old command
+        // may yet do, nor that the machine is alive.
+        return;
+      }
+      m.settled = true;
+      requestPass.run();
+    }
+    noteAlive(m, r, received);
+    Map<Ended, Long> oldEnded = new HashMap<>(m.ended);
+    m.ended.clear();
+    Map<Ended, Instant> oldForeign = new HashMap<>(m.foreign);
+    m.foreign.clear();
+    Set<Placement> seen = new HashSet<>();
+    for (TaskReport t : r.tasks()) {
+      if (t.stage() == Report.Stage.ENDED) {
+        absorbEnded(m, r, t, oldEnded);
+      } else {
+        absorbPresent(m, r, t, oldForeign).ifPresent(seen::add);
+      }
+    }
+    removeUnseen(m, r, seen);
+    if (m.takenAt.isPresent()) {
+      prepareForNotice(m);
+    }
+    if (!m.foreign.isEmpty()) {
+      inventory.noteCommandDue(m);
+    }
+  }
+
+  /** Takes in what a report says of the machine itself, whatever term it has heard of. */
+  private void noteReported(Machine m, Report r) {
+    Instant now = clock.instant();
+    if (r.session() > m.session && now.isAfter(m.renewed)) {
+      // A session's lease runs from when it began, without any answer: what is started in it by
+      // direct commands may live as long as if the last report had been answered now.
+      m.renewed = now;
+    }
+    m.session = r.session();
+    m.sequence = r.sequence();
+    m.seenToken = Math.max(m.seenToken, r.token());
+    m.address = r.address();
+    if (m.life == Life.BOOTING) {
+      m.life = Life.UP;
+    }
+    if (m.recorded && !m.recordedAddress.equals(m.address)) {
+      m.recordedAddress = m.address;
+      records.recordMachineUnhurried(m);
+    }
+    if (!m.everReported) {
+      m.everReported = true;
+      LOG.info(
+          "event=machine_up term={} machine={} type={} zone={} spot={} after_ms={}",
+          leadership.term(),
+          m.name,
+          m.type.name(),
+          m.zone,
+          m.spot,
+          Duration.between(m.rented, now).toMillis());
+    }
+  }
+
+  /** Notes that a machine lives, and for how long it will. */
+  private void noteAlive(Machine m, Report r, boolean received) {
+    Instant now = clock.instant();
+    if (received) {
+      m.heard = now;
+      if (m.missedProbes > 0) {
+        m.missedProbes = 0;
+        m.directAfter = now;
+      }
+    }
+    m.lost = false;
+    if (r.notice().isPresent() && m.takenAt.isEmpty()) {
+      LOG.info(
+          "event=spot_notice term={} machine={} left={}",
+          leadership.term(),
+          m.name,
+          r.notice().get());
+    }
+    m.takenAt = r.notice().map(now::plus);
+  }
+
+  /** The job of a reported task; empty when it is over or has no such task. */
+  private Optional<Job> jobOf(TaskReport t) {
+    return Optional.ofNullable(jobs.get(t.task().job()))
+        .filter(job -> t.task().index() < job.spec.tasks());
+  }
+
+  /** What is known of a reported attempt; one that a former leader gave is known from now on. */
+  private Optional<Placement> placementOf(Machine m, Report r, TaskReport t) {
+    Placement p = m.placements.get(t.task());
+    if (p != null && p.attempt < 0) {
+      p.attempt = t.attempt();
+      p.token = r.token();
+      p.session = r.session();
+    }
+    return Optional.ofNullable(p).filter(known -> known.attempt == t.attempt());
+  }
+
+  private void absorbEnded(Machine m, Report r, TaskReport t, Map<Ended, Long> oldEnded) {
+    Optional<Placement> placement = placementOf(m, r, t);
+    // What is done stays done however often it is started: no token need be raised for it.
+    long started = t.cause().equals("done") ? -1 : placement.map(p -> p.token).orElse(m.token);
+    Ended key = new Ended(t.task(), t.attempt());
+    m.ended.put(key, oldEnded.getOrDefault(key, started));
+    placement.ifPresent(inventory::remove);
+    ended(m, jobOf(t).orElse(null), t, placement.orElse(null));
+  }
+
+  /** Takes in a task that is on the machine; empty if it must not be there. */
+  private Optional<Placement> absorbPresent(
+      Machine m, Report r, TaskReport t, Map<Ended, Instant> oldForeign) {
+    Optional<Job> job = jobOf(t);
+    Optional<Placement> placement = placementOf(m, r, t);
+    if (placement.isEmpty() && job.isPresent() && !job.get().done.get(t.task().index())) {
+      placement = adopt(job.get(), m, r, t);
+    }
+    if (placement.isEmpty()) {
+      Ended key = new Ended(t.task(), t.attempt());
+      m.foreign.put(key, oldForeign.getOrDefault(key, Instant.MIN));
+    }
+    placement.ifPresent(p -> progress(p, t.stage()));
+    return placement;
+  }
+
+  /** Takes a task over that nobody knew to be here; empty if it is known to be elsewhere. */
+  private Optional<Placement> adopt(Job job, Machine m, Report r, TaskReport t) {
+    Placement other = job.placed.get(t.task().index());
+    if (other != null && other.stage == Stage.PLANNED) {
+      inventory.remove(other);
+      other = null;
+    }
+    if (other != null) {
+      LOG.error(
+          "event=task_twice task={} machine={} other={}", t.task(), m.name, other.machine.name);
+      return Optional.empty();
+    }
+    Placement adopted = new Placement(job, t.task(), t.attempt(), m, Stage.SENT, job.submitted);
+    adopted.token = r.token();
+    adopted.session = r.session();
+    inventory.add(adopted);
+    records.recordTask(adopted);
+    return Optional.of(adopted);
+  }
+
+  /** What is not in the report is gone only if no command for it can still be on its way. */
+  private void removeUnseen(Machine m, Report r, Set<Placement> seen) {
+    for (Placement p : List.copyOf(m.placements.values())) {
+      if (p.stage != Stage.PLANNED
+          && !seen.contains(p)
+          && (p.confirmed || p.session < r.session() || p.token < r.token())) {
+        inventory.remove(p);
+      }
+    }
+  }
+
+  private void progress(Placement p, Report.Stage stage) {
+    p.confirmed = true;
+    Stage before = p.stage;
+    p.stage =
+        switch (stage) {
+          case FETCHING -> Stage.FETCHING;
+          case FLUSHING -> Stage.SAVING;
+          default -> Stage.RUNNING;
+        };
+    if (p.stage == Stage.RUNNING && before != Stage.RUNNING) {
+      LOG.debug(
+          "event=running term={} machine={} task={} attempt={} since_submit_ms={} since_start_ms={}",
+          leadership.term(),
+          p.machine.name,
+          p.task,
+          p.attempt,
+          Duration.between(p.job.submitted, clock.instant()).toMillis(),
+          Duration.between(p.since, clock.instant()).toMillis());
+      p.machine.noteImage(p.job.spec.image(), p.job.spec.imageGb());
+      Instant now = clock.instant();
+      if (before == Stage.SENT || before == Stage.FETCHING) {
+        statistics.started(Duration.between(p.since, now));
+      }
+      p.since = now;
+    }
+  }
+
+  private void ended(Machine m, Job job, TaskReport t, Placement p) {
+    if (job == null) {
+      return;
+    }
+    switch (t.cause()) {
+      case "done" -> {
+        failures.succeeded(m, job);
+        if (!job.spec.service() && !job.done.get(t.task().index())) {
+          completed(job, t.task().index());
+        }
+      }
+      case "error" -> {
+        if (p != null) {
+          failures.failed(m, job);
+        }
+      }
+      default -> {
+        if (p != null && !t.cause().equals("stopped")) {
+          refused(m, job, t);
+        }
+      }
+    }
+  }
+
+  /** A task is done, for the first time as far as known here. */
+  private void completed(Job job, int index) {
+    Placement other = job.placed.get(index);
+    if (other != null) {
+      inventory.stop(other);
+    }
+    job.done.set(index);
+    jobs.requeue(job);
+    if (job.complete()) {
+      records.recordEnd(job);
+    } else {
+      records.recordProgress(job, index);
+    }
+  }
+
+  /** The worker would not start the task: what is known of the machine or the job is wrong. */
+  private void refused(Machine m, Job job, TaskReport t) {
+    LOG.info(
+        "event=start_refused term={} machine={} task={} attempt={} cause={}",
+        leadership.term(),
+        m.name,
+        t.task(),
+        t.attempt(),
+        t.cause());
+    Instant later = clock.instant().plus(REFUSAL_PAUSE);
+    if (t.cause().equals("no_such")) {
+      job.notBefore = later;
+    } else {
+      m.avoidUntil = later;
+    }
+  }
+
+  /** A machine that will be taken: saves what can be saved and moves what can't finish. */
+  private void prepareForNotice(Machine m) {
+    Instant now = clock.instant();
+    Duration left = Duration.between(now, m.takenAt.orElse(now));
+    for (Placement p : List.copyOf(m.placements.values())) {
+      if (p.stopping) {
+        continue;
+      }
+      JobSpec s = p.job.spec;
+      boolean saves = !s.checkpoint().isZero();
+      Duration ran = Duration.between(p.since, now);
+      boolean running = p.stage == Stage.RUNNING;
+      Duration remaining = running ? s.estimate().minus(ran) : s.estimate();
+      if (saves ? left.compareTo(s.save().plusSeconds(4)) < 0 || !running : false) {
+        inventory.stop(p);
+      } else if (s.service() || (!saves && remaining.compareTo(left.multipliedBy(2)) > 0)) {
+        inventory.stop(p);
+      }
+    }
+  }
+}
--- a/src/main/java/io/pearscale/scheduler/StopCommands.java
+++ b/src/main/java/io/pearscale/scheduler/StopCommands.java
@@ -72,11 +72,11 @@
    */
   static boolean unsent(Machine machine) {
     return machine.foreign.containsValue(Instant.MIN)
-        || machine.placements.values().stream().anyMatch(p -> p.doomed && p.kills == 0);
+        || machine.placements.values().stream().anyMatch(p -> p.stopping && p.kills == 0);
   }
 
   private static boolean isDue(Placement placement, boolean inAnswer, Instant now) {
-    if (!placement.doomed || placement.attempt < 0) {
+    if (!placement.stopping || placement.attempt < 0) {
       return false;
     }
     if (placement.kills == 0 || (inAnswer && !isSaving(placement))) {
@@ -88,13 +88,13 @@
 
   /** Whether the task does what its stop asked of it, so that another one would only cut it off. */
   private static boolean isSaving(Placement placement) {
-    return placement.stage == Stage.SAVING && !placement.hurried;
+    return placement.stage == Stage.SAVING && !placement.stopsAtOnce;
   }
 
   /** The command itself. A task that was given its time to save is told to end at once. */
   private static Order stop(Placement placement) {
     boolean mayStillSave =
-        !placement.hurried
+        !placement.stopsAtOnce
             && !placement.job.spec.checkpoint().isZero()
             && (placement.kills == 0 || placement.stage != Stage.SAVING);
     Duration grace = mayStillSave ? placement.job.spec.save().plus(SAVING_MARGIN) : Duration.ZERO;
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/TaskCounts.java
@@ -0,0 +1,52 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.protocol.PeerMessage.JobCount;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Tells all controllers how many tasks of each job are done and run, for their users' questions.
+ */
+final class TaskCounts {
+  /** So many jobs that are over may be remembered beside those that are not. */
+  private static final int MOST_FORMER = 1000;
+
+  private final JobTable jobs;
+  private final Consumer<List<JobCount>> listener;
+  private final Map<String, JobCount> known = new HashMap<>();
+
+  /** The listener is told of counts that changed. */
+  TaskCounts(JobTable jobs, Consumer<List<JobCount>> listener) {
+    this.jobs = jobs;
+    this.listener = listener;
+  }
+
+  /** Forgets what was told. */
+  void clear() {
+    known.clear();
+  }
+
+  /** Tells what has changed since the last time. */
+  void tellChanges() {
+    List<JobCount> changed = new ArrayList<>();
+    for (Job job : jobs.all()) {
+      int done = job.done.cardinality();
+      int running = job.running();
+      JobCount before = known.get(job.spec.id());
+      if (before == null || before.done() != done || before.running() != running) {
+        JobCount count = new JobCount(job.spec.id(), done, running);
+        known.put(job.spec.id(), count);
+        changed.add(count);
+      }
+    }
+    if (known.size() > jobs.size() + MOST_FORMER) {
+      known.keySet().removeIf(id -> !jobs.isLive(id));
+    }
+    if (!changed.isEmpty()) {
+      listener.accept(changed);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/TermExecutor.java
@@ -0,0 +1,20 @@
+package io.pearscale.scheduler;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/**
+ * Runs what the parts of a leader put off: each action as a message of the scheduler, one after the
+ * other, and only if the term in which it was put off still lasts. A timer or an answer of a former
+ * term never acts in a later one.
+ */
+interface TermExecutor {
+  /** Runs the action after the message that is being handled now. */
+  void execute(Runnable action);
+
+  /** Runs the action after the delay. */
+  void after(Duration delay, Runnable action);
+
+  /** Hands an answer that comes later to the handler. */
+  <T> Consumer<T> callback(Consumer<T> handler);
+}
