--- a/src/main/java/io/pearscale/cli/Commands.java
+++ b/src/main/java/io/pearscale/cli/Commands.java
@@ -2,7 +2,9 @@
 
 import io.pearscale.protocol.Settings;
 import io.pearscale.protocol.SocketShares;
+import io.pearscale.scheduler.Operations;
 import io.pearscale.scheduler.Tuning;
+import io.pearscale.upgrade.Release;
 import java.nio.file.Path;
 import java.util.Optional;
 import java.util.concurrent.Callable;
@@ -42,6 +44,12 @@
         description = "operators' own settings (S-expressions)")
     Path tuning;
 
+    @Option(
+        names = "--operations",
+        paramLabel = "FILE",
+        description = "what is switched on beside scheduling (S-expressions)")
+    Path operations;
+
     Settings settings() throws SettingsError {
       return SettingsReader.read(config);
     }
@@ -49,6 +57,10 @@
     Tuning tuning() throws SettingsError {
       return TuningReader.read(Optional.ofNullable(tuning));
     }
+
+    Operations operations() throws SettingsError {
+      return OperationsReader.read(Optional.ofNullable(operations));
+    }
   }
 
   @Command(
@@ -60,7 +72,8 @@
 
     @Override
     public Integer call() {
-      return Main.serve(files.config, Optional.ofNullable(files.tuning));
+      return Main.serve(
+          files.config, Optional.ofNullable(files.tuning), Optional.ofNullable(files.operations));
     }
   }
 
@@ -76,6 +89,7 @@
       try {
         Settings s = files.settings();
         files.tuning();
+        files.operations();
         System.out.println("settings of " + s.host() + " are good");
         System.out.println(sockets(s.maxConnections(), s.sockets()));
         return 0;
@@ -95,8 +109,7 @@
   static final class Version implements IVersionProvider {
     @Override
     public String[] getVersion() {
-      String v = Main.class.getPackage().getImplementationVersion();
-      return new String[] {"pearscale " + (v == null ? "(not packaged)" : v)};
+      return new String[] {"pearscale " + Release.name()};
     }
   }
 }
--- a/src/main/java/io/pearscale/cli/Main.java
+++ b/src/main/java/io/pearscale/cli/Main.java
@@ -29,7 +29,9 @@
     configureLogging();
     NoManagement.install();
     int code =
-        isPlainServe(args) ? serve(Path.of(args[2]), Optional.empty()) : Commands.execute(args);
+        isPlainServe(args)
+            ? serve(Path.of(args[2]), Optional.empty(), Optional.empty())
+            : Commands.execute(args);
     if (code != 0 || args.length == 0 || !SERVE.equals(args[0])) {
       System.exit(code);
     }
@@ -40,9 +42,12 @@
   }
 
   /** Starts a controller, which goes on after this returns 0. */
-  static int serve(Path config, Optional<Path> tuning) {
+  static int serve(Path config, Optional<Path> tuning, Optional<Path> operations) {
     try {
-      new Server(SettingsReader.read(config), TuningReader.read(tuning));
+      new Server(
+          SettingsReader.read(config),
+          TuningReader.read(tuning),
+          OperationsReader.read(operations));
       return 0;
     } catch (SettingsError e) {
       System.err.println("pearscale: " + e.getMessage());
--- a/src/main/java/io/pearscale/cli/Server.java
+++ b/src/main/java/io/pearscale/cli/Server.java
@@ -3,6 +3,7 @@
 import io.pearscale.protocol.PeerVersions;
 import io.pearscale.protocol.Settings;
 import io.pearscale.scheduler.Controller;
+import io.pearscale.scheduler.Operations;
 import io.pearscale.scheduler.Tuning;
 import io.pearscale.transport.HttpCalls;
 import io.pearscale.transport.HttpServer;
@@ -43,7 +44,7 @@
   private final HttpServer http;
   private Controller controller;
 
-  Server(Settings settings, Tuning tuning) throws IOException {
+  Server(Settings settings, Tuning tuning, Operations operations) throws IOException {
     worker = oneThread();
     renewalWorker = oneThread();
     XnioLoop loop = new XnioLoop(worker.getIoThread());
@@ -62,7 +63,7 @@
             links,
             settings,
             SupportedLevels.OF_THIS_BUILD,
-            tuning,
+            new Controller.Options(tuning, operations),
             random,
             InstantSource.system());
     http =
--- /dev/null
+++ b/src/main/java/io/pearscale/cli/StateSession.java
@@ -0,0 +1,142 @@
+package io.pearscale.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pearscale.protocol.Settings;
+import io.pearscale.storage.Keys;
+import io.pearscale.storage.StateClient;
+import io.pearscale.storage.StateClient.Change;
+import io.pearscale.storage.StateClient.Guard;
+import io.pearscale.transport.Calls.Reply;
+import io.pearscale.transport.HttpCalls;
+import io.pearscale.transport.XnioLoop;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import org.xnio.XnioWorker;
+
+/**
+ * A command's conversation with the state service, one request after the other. Writes are guarded
+ * by the level as this session has read it.
+ */
+final class StateSession implements AutoCloseable {
+  private static final int CONNECTIONS = 2;
+  private static final int LONGEST_WAIT_SECONDS = 5;
+  private static final int PAGE = 500;
+
+  /** A stored value with the stamp of its latest change. */
+  record Stored(JsonNode value, long stamp) {}
+
+  /** What came of a write. */
+  enum Written {
+    /** It was carried out. */
+    DONE,
+    /** Something that it was guarded by has changed; nothing was written. */
+    CHANGED_MEANWHILE,
+    /** There was no clear answer: it may have been carried out, or may yet be. */
+    UNKNOWN
+  }
+
+  private final XnioWorker worker;
+  private final XnioLoop loop;
+  private final StateClient client;
+  private final String address;
+  private OptionalLong levelStamp = OptionalLong.empty();
+
+  StateSession(Settings settings) throws IOException {
+    worker = Server.oneThread();
+    loop = new XnioLoop(worker.getIoThread());
+    HttpCalls calls =
+        new HttpCalls(
+            loop,
+            worker.getIoThread(),
+            new DefaultByteBufferPool(false, 8192, CONNECTIONS, 0),
+            CONNECTIONS);
+    client = new StateClient(loop, calls, settings, () -> levelStamp);
+    address = settings.state();
+  }
+
+  /** The key's value and stamp; empty if there is none. */
+  Optional<Stored> read(String key) throws IOException {
+    Reply reply = ask(answer -> client.read(key, answer));
+    if (reply.status() != 404 && !reply.ok()) {
+      throw failure(reply);
+    }
+    Optional<Stored> stored =
+        reply.ok()
+            ? Optional.of(
+                new Stored(reply.body().path("value"), reply.body().path("stamp").asLong()))
+            : Optional.empty();
+    if (key.equals(Keys.LEVEL)) {
+      levelStamp = OptionalLong.of(stored.map(Stored::stamp).orElse(0L));
+    }
+    return stored;
+  }
+
+  /** All keys with the prefix, by key. */
+  Map<String, Stored> list(String prefix) throws IOException {
+    Map<String, Stored> found = new TreeMap<>();
+    Optional<String> since = Optional.empty();
+    boolean more = true;
+    while (more) {
+      Optional<String> after = since;
+      Reply reply = ask(answer -> client.list(prefix, after, PAGE, answer));
+      if (!reply.ok()) {
+        throw failure(reply);
+      }
+      for (JsonNode pair : reply.body().path("pairs")) {
+        String key = pair.path("key").asText();
+        found.put(key, new Stored(pair.path("value"), pair.path("stamp").asLong()));
+        since = Optional.of(key);
+      }
+      more = reply.body().path("more").asBoolean() && since.isPresent();
+    }
+    return found;
+  }
+
+  /** Writes, if nothing has changed that the guards name, nor the level that was read. */
+  Written write(List<Guard> guards, List<Change> changes) throws IOException {
+    Reply reply = ask(answer -> client.commit(guards, changes, answer));
+    if (reply.ok()) {
+      return Written.DONE;
+    }
+    if (reply.status() == 409) {
+      return Written.CHANGED_MEANWHILE;
+    }
+    if (reply.status() == 0) {
+      return Written.UNKNOWN;
+    }
+    throw failure(reply);
+  }
+
+  private IOException failure(Reply reply) {
+    String said = reply.status() == 0 ? "does not answer" : "answers " + reply.status();
+    return new IOException("the state service at " + address + " " + said);
+  }
+
+  private Reply ask(Consumer<Consumer<Reply>> request) throws IOException {
+    CompletableFuture<Reply> answer = new CompletableFuture<>();
+    loop.execute(() -> request.accept(answer::complete));
+    try {
+      return answer.get(LONGEST_WAIT_SECONDS, TimeUnit.SECONDS);
+    } catch (TimeoutException | ExecutionException e) {
+      return Reply.NONE;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    }
+  }
+
+  @Override
+  public void close() {
+    worker.shutdownNow();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/cli/UpgradeView.java
@@ -0,0 +1,197 @@
+package io.pearscale.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.cli.StateSession.Stored;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.protocol.Settings;
+import io.pearscale.storage.Keys;
+import io.pearscale.storage.Roster;
+import io.pearscale.storage.StateClient.Guard;
+import io.pearscale.transport.MessagePack;
+import io.pearscale.upgrade.ClusterLevel;
+import io.pearscale.upgrade.LevelGate;
+import io.pearscale.upgrade.MemberSupport;
+import io.pearscale.upgrade.SupportedLevels;
+import io.pearscale.upgrade.UpgradePlan;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * What the state service says of an upgrade, read at one moment, and the guards that hold a step to
+ * it.
+ *
+ * @param level the stored level as it is, empty if none was ever stored
+ * @param objection why this build must stay out, if it must
+ * @param members the records of the controllers that run, by host
+ * @param pendingValues values of the roster that have another form than the one that is written
+ * @param plan decides on steps; empty if the level can't be read
+ */
+record UpgradeView(
+    Optional<Stored> level,
+    SupportedLevels build,
+    Optional<String> objection,
+    Set<String> hosts,
+    Map<String, Stored> members,
+    int pendingValues,
+    Optional<UpgradePlan> plan,
+    Optional<String> leader,
+    long term) {
+
+  /** Reads all of it. */
+  static UpgradeView read(StateSession state, Settings settings, SupportedLevels build)
+      throws IOException {
+    Optional<Stored> level = state.read(Keys.LEVEL);
+    LevelGate gate = new LevelGate(build);
+    gate.update(level.map(Stored::value), level.map(Stored::stamp).orElse(0L));
+    Set<String> hosts = new TreeSet<>(settings.peers().keySet());
+    hosts.add(settings.host());
+    Map<String, Stored> members = new TreeMap<>();
+    state
+        .list(Keys.MEMBERS)
+        .forEach((key, stored) -> members.put(key.substring(Keys.MEMBERS.length()), stored));
+    Map<String, Stored> roster = state.list(Keys.ROSTERS);
+    Optional<ClusterLevel> inForce = parse(level);
+    return new UpgradeView(
+        level,
+        build,
+        gate.objection(),
+        hosts,
+        members,
+        inForce.map(l -> pendingValues(roster, l.written())).orElse(0),
+        inForce.map(l -> new UpgradePlan(l, hosts, supports(members), inMaintenance(roster))),
+        state.read(Keys.LEADER).map(stored -> stored.value().path("node").asText()),
+        state.read(Keys.TERM).map(stored -> stored.value().path("term").asLong()).orElse(0L));
+  }
+
+  private static Optional<ClusterLevel> parse(Optional<Stored> level) {
+    try {
+      return Optional.of(
+          level.isEmpty() ? ClusterLevel.UNVERSIONED : ClusterLevel.parse(level.get().value()));
+    } catch (Malformed e) {
+      return Optional.empty();
+    }
+  }
+
+  /** A record that can't be read says nothing: its controller counts as not seen. */
+  private static Map<String, MemberSupport> supports(Map<String, Stored> members) {
+    Map<String, MemberSupport> supports = new TreeMap<>();
+    members.forEach(
+        (host, stored) -> {
+          try {
+            supports.put(host, MemberSupport.parse(stored.value()));
+          } catch (Malformed e) {
+            supports.remove(host);
+          }
+        });
+    return supports;
+  }
+
+  private static int pendingValues(Map<String, Stored> roster, int written) {
+    int pending = 0;
+    for (Stored stored : roster.values()) {
+      pending += Roster.levelOf(stored.value()).orElse(written) == written ? 0 : 1;
+    }
+    return pending;
+  }
+
+  private static List<String> inMaintenance(Map<String, Stored> roster) {
+    List<String> names = new ArrayList<>();
+    for (Stored stored : roster.values()) {
+      try {
+        Roster.decode(stored.value()).stream()
+            .filter(entry -> !entry.maintenance().isNone())
+            .forEach(entry -> names.add(entry.machine()));
+      } catch (Malformed e) {
+        names.add("(unreadable: " + e.getMessage() + ")");
+      }
+    }
+    return names;
+  }
+
+  /** What a step is held to: none of the records of controllers that it rests on has changed. */
+  List<Guard> guards() {
+    List<Guard> guards = new ArrayList<>();
+    for (String host : hosts) {
+      long stamp = members.containsKey(host) ? members.get(host).stamp() : 0;
+      guards.add(new Guard(Keys.member(host), stamp));
+    }
+    return guards;
+  }
+
+  /** The stored record of the level, with fields that a later release may have added. */
+  JsonNode storedLevel() {
+    return level.map(Stored::value).orElse(MessagePack.MISSING);
+  }
+
+  private String levelInForce() {
+    return level.map(stored -> stored.value().path("level").asText("unreadable")).orElse("0");
+  }
+
+  private String written() {
+    return plan.map(p -> Integer.toString(p.inForce().written())).orElse("unknown");
+  }
+
+  private String migration() {
+    return plan.map(
+            p ->
+                p.inForce().migrated()
+                    ? "complete"
+                    : pendingValues + " values of the roster are to be rewritten")
+        .orElse("unknown");
+  }
+
+  private String nextStep() {
+    return plan.map(p -> p.nextStep(build)).orElse("repair " + Keys.LEVEL);
+  }
+
+  private Map<String, String> controllers() {
+    Map<String, MemberSupport> supports = supports(members);
+    Map<String, String> controllers = new TreeMap<>();
+    for (String host : hosts) {
+      MemberSupport support = supports.get(host);
+      controllers.put(
+          host,
+          support == null ? "not seen" : support.levels() + " (release " + support.release() + ")");
+    }
+    return controllers;
+  }
+
+  String asTable() {
+    List<String> lines = new ArrayList<>();
+    lines.add("level in force   " + levelInForce() + (level.isEmpty() ? " (none stored)" : ""));
+    lines.add("level written    " + written());
+    lines.add("migration        " + migration());
+    lines.add("this build       " + build);
+    lines.add("takes part       " + objection.map(reason -> "no: " + reason).orElse("yes"));
+    lines.add("leader           " + leader.orElse("nobody"));
+    lines.add("term             " + term);
+    controllers().forEach((host, says) -> lines.add("%-16s %s".formatted(host, says)));
+    lines.add("next step        " + nextStep());
+    return String.join(System.lineSeparator(), lines);
+  }
+
+  String asJson() {
+    ObjectNode node = new ObjectMapper().createObjectNode();
+    node.put("levelInForce", levelInForce());
+    node.put("levelWritten", written());
+    node.put("migration", migration());
+    node.put("valuesToMigrate", pendingValues);
+    node.put("lowestSupported", build.lowest());
+    node.put("highestSupported", build.highest());
+    node.put("takesPart", objection.isEmpty());
+    objection.ifPresent(reason -> node.put("reason", reason));
+    leader.ifPresent(name -> node.put("leader", name));
+    node.put("term", term);
+    ObjectNode controllers = node.putObject("controllers");
+    controllers().forEach(controllers::put);
+    return node.put("nextStep", nextStep()).toString();
+  }
+}
--- a/src/main/java/io/pearscale/cli/WarmUp.java
+++ b/src/main/java/io/pearscale/cli/WarmUp.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.scheduler.Operations;
 import io.pearscale.transport.HttpCalls;
 import io.pearscale.transport.HttpServer;
 import io.pearscale.transport.MessagePack;
@@ -134,7 +135,9 @@
     Path file = Files.createTempFile("pearscale", ".toml");
     try {
       Files.writeString(file, SETTINGS.formatted(host, client, back, peer, peerBack, stub, stub));
-      Server server = new Server(SettingsReader.read(file), TuningReader.read(Optional.empty()));
+      Server server =
+          new Server(
+              SettingsReader.read(file), TuningReader.read(Optional.empty()), Operations.off());
       server.awaitListening(START);
       return server;
     } finally {
--- a/src/main/java/io/pearscale/scheduler/Controller.java
+++ b/src/main/java/io/pearscale/scheduler/Controller.java
@@ -3,6 +3,7 @@
 import io.pearscale.coordination.ElectionActor;
 import io.pearscale.coordination.GrantKeeper;
 import io.pearscale.coordination.RelayActor;
+import io.pearscale.coordination.SupportAnnouncer;
 import io.pearscale.protocol.Malformed;
 import io.pearscale.protocol.PeerMessage;
 import io.pearscale.protocol.PeerMessage.Counts;
@@ -26,6 +27,8 @@
 import io.pearscale.transport.Loop;
 import io.pearscale.transport.MessagePack;
 import io.pearscale.upgrade.LevelGate;
+import io.pearscale.upgrade.MemberSupport;
+import io.pearscale.upgrade.Release;
 import io.pearscale.upgrade.SupportedLevels;
 import java.time.Duration;
 import java.time.Instant;
@@ -66,6 +69,7 @@
   private final SchedulerActor scheduler;
   private final ApiActor api;
   private final LevelGate level;
+  private final Optional<SupportAnnouncer> announcer;
   private final Map<String, PeerState> peers = new HashMap<>();
   private long term;
   private Optional<String> leader = Optional.empty();
@@ -77,6 +81,9 @@
   private long copyEpoch;
   private Instant started = Instant.EPOCH;
 
+  /** What operators have set. */
+  public record Options(Tuning tuning, Operations operations) {}
+
   /** A loop, and the calls that are made on it. */
   public record Lane(Loop loop, Calls calls) {}
 
@@ -93,13 +100,13 @@
       Links links,
       Settings settings,
       SupportedLevels supported,
-      Tuning tuning,
+      Options options,
       RandomGenerator random,
       InstantSource timeOfDay) {
     this.loop = loop;
     this.settings = settings;
     this.links = links;
-    this.level = new LevelGate(supported);
+    this.level = new LevelGate(supported.upTo(options.operations.highestLevel()));
     this.state = new StateClient(loop, calls, settings, level::writeStamp);
     this.replica = new ReplicaActor(loop, state, random);
     this.api =
@@ -130,16 +137,17 @@
             List.of(new ElectionListener()));
     this.scheduler =
         new SchedulerActor(
-            loop,
-            state,
-            calls,
-            settings,
-            tuning,
-            random,
-            timeOfDay,
-            t -> tellElection(new ElectionActor.HigherTerm(t)),
-            reason -> tellElection(new ElectionActor.Unfit(reason)),
-            this::counts);
+            new SchedulerActor.Environment(
+                loop,
+                state,
+                calls,
+                settings,
+                options.tuning,
+                options.operations,
+                random,
+                timeOfDay,
+                level,
+                new SchedulerListener()));
     this.relay =
         new RelayActor(
             loop,
@@ -148,9 +156,21 @@
             settings.relayPatience(),
             settings.sockets().parkedReports(),
             (report, answer) -> local(report, settings.host(), answer));
+    this.announcer =
+        options
+            .operations
+            .announceSupport()
+            .map(
+                time -> announcer(supported.upTo(options.operations.highestLevel()), time, random));
     replica.listen(new ReplicaListener());
   }
 
+  private SupportAnnouncer announcer(
+      SupportedLevels supported, Duration grantTime, RandomGenerator random) {
+    MemberSupport support = new MemberSupport(supported, random.nextLong(), Release.name());
+    return new SupportAnnouncer(loop, state, settings.host(), support, grantTime);
+  }
+
   private void tellElection(ElectionActor.Message m) {
     election.tell(m);
   }
@@ -240,9 +260,22 @@
     }
   }
 
-  private void counts(List<PeerMessage.JobCount> jobs) {
-    api.tell(new ApiActor.Counts(jobs));
-    sendAll(new Counts(jobs));
+  private final class SchedulerListener implements SchedulerActor.Listener {
+    @Override
+    public void higherTerm(long newTerm) {
+      election.tell(new ElectionActor.HigherTerm(newTerm));
+    }
+
+    @Override
+    public void unfit(String reason) {
+      election.tell(new ElectionActor.Unfit(reason));
+    }
+
+    @Override
+    public void counts(List<PeerMessage.JobCount> jobs) {
+      api.tell(new ApiActor.Counts(jobs));
+      sendAll(new Counts(jobs));
+    }
   }
 
   private void sendAll(PeerMessage message) {
@@ -258,6 +291,7 @@
   public void start() {
     started = loop.clock().instant();
     replica.tell(new ReplicaActor.Start());
+    announcer.ifPresent(a -> a.tell(new SupportAnnouncer.Start()));
     heartbeat();
     beat();
   }
--- a/src/main/java/io/pearscale/scheduler/JobTable.java
+++ b/src/main/java/io/pearscale/scheduler/JobTable.java
@@ -37,9 +37,11 @@
   private final Consumer<Job> added;
   private final Runnable requestPass;
   private final Map<String, Job> jobs = new LinkedHashMap<>();
+  private final Collection<Job> all = Collections.unmodifiableCollection(jobs.values());
   private final CancelledJobs cancelled = new CancelledJobs();
   private final Set<String> unreadableKeys = new HashSet<>();
   private final Set<Job> waiting = new LinkedHashSet<>();
+  private final Collection<Job> waitingView = Collections.unmodifiableCollection(waiting);
 
   /**
    * Makes an empty table.
@@ -79,7 +81,7 @@
   }
 
   Collection<Job> all() {
-    return Collections.unmodifiableCollection(jobs.values());
+    return all;
   }
 
   int size() {
@@ -153,7 +155,7 @@
 
   /** Jobs with tasks that wait for a machine: a pass looks at these alone. */
   Collection<Job> waiting() {
-    return Collections.unmodifiableCollection(waiting);
+    return waitingView;
   }
 
   /** Keeps the jobs that wait true after a job's tasks changed. */
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/LeaderComponents.java
@@ -0,0 +1,79 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.protocol.Settings;
+import io.pearscale.protocol.Settings.Team;
+import io.pearscale.scheduler.SchedulerActor.Environment;
+import io.pearscale.scheduler.SchedulerActor.Listener;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Makes the parts of a leader and joins them; they know each other by their constructors alone. */
+final class LeaderComponents {
+  final Leadership leadership;
+  final JobTable jobs;
+  final MachineInventory inventory;
+  final LeaderRecords records;
+  final LeaderStatistics statistics;
+  final CommandDispatcher dispatcher;
+  final ReportHandler reports;
+  final MachineHealth health;
+  final LeaderRecovery recovery;
+  final PlacementPass passes;
+  final MachineSupply supply;
+  final RecordWriter writer;
+  final TaskCounts counts;
+
+  /**
+   * Makes all parts.
+   *
+   * @param executor runs what they put off
+   * @param cloudEvents is told what the cloud says
+   */
+  LeaderComponents(Environment env, TermExecutor executor, Consumer<CloudActor.Event> cloudEvents) {
+    Settings settings = env.settings();
+    Listener listener = env.listener();
+    InstantSource clock = env.loop().clock();
+    Map<String, Team> teams = new HashMap<>();
+    settings.teams().forEach(team -> teams.put(team.name(), team));
+    WorkerTimes times = WorkerTimes.of(settings.workers());
+    MachineCatalogue catalogue = new MachineCatalogue();
+    JobClasses classes = new JobClasses(settings.objectives(), catalogue.types());
+    JobOrder order = new JobOrder(settings.objectives(), classes);
+    Runnable requestPass = this::requestPass;
+    leadership = new Leadership(clock, settings.hold());
+    records = new LeaderRecords(settings.stateLimits(), env.level(), clock, this::requestCommit);
+    jobs = new JobTable(teams, leadership, clock, env.timeOfDay(), classes::note, requestPass);
+    inventory =
+        new MachineInventory(catalogue, teams, leadership, jobs, records, clock, requestPass);
+    LeaderState shared = new LeaderState(leadership, jobs, inventory, records, clock, requestPass);
+    statistics = new LeaderStatistics(shared);
+    ReportProcessor processor = new ReportProcessor(shared, new FailureJudge(shared), statistics);
+    dispatcher =
+        new CommandDispatcher(
+            shared, settings, times, env.calls(), executor, listener::higherTerm, processor);
+    reports = new ReportHandler(shared, processor, dispatcher, listener::higherTerm);
+    CloudActor cloud = new CloudActor(env.loop(), env.calls(), settings, cloudEvents);
+    MachineRetirement retirement = new MachineRetirement(shared, cloud);
+    health = new MachineHealth(shared, times, dispatcher, retirement);
+    recovery = new LeaderRecovery(shared, dispatcher, listener::unfit);
+    PlacementPass.Policy policy =
+        new PlacementPass.Policy(env.tuning(), env.random(), teams, classes, order);
+    passes = new PlacementPass(shared, times, policy, executor, health, dispatcher, statistics);
+    Fleet fleet = new Fleet(env.tuning(), teams, classes);
+    supply =
+        new MachineSupply(
+            shared, settings, cloud, fleet, order, health, retirement, dispatcher, recovery);
+    writer = new RecordWriter(shared, env, executor, dispatcher, retirement);
+    counts = new TaskCounts(jobs, listener::counts);
+  }
+
+  private void requestPass() {
+    passes.request();
+  }
+
+  private void requestCommit() {
+    writer.plan();
+  }
+}
--- a/src/main/java/io/pearscale/scheduler/LeaderRecords.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderRecords.java
@@ -7,6 +7,7 @@
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.ReplicaActor.KeyChange;
 import io.pearscale.storage.Roster;
+import io.pearscale.upgrade.LevelGate;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -42,18 +43,21 @@
   private Shards<Machine> roster;
   private final Set<Job> ended = new LinkedHashSet<>();
   private final Set<String> garbage = new LinkedHashSet<>();
+  private final RosterMigration migration;
   private boolean catalogueDue;
 
   /**
    * Makes empty records.
    *
+   * @param gate says in the forms of which level records are written
    * @param requestCommit asks for a transaction
    */
-  LeaderRecords(State limits, InstantSource clock, Runnable requestCommit) {
+  LeaderRecords(State limits, LevelGate gate, InstantSource clock, Runnable requestCommit) {
     this.valueSize = Math.min(SHARED_VALUE, limits.valueBytes() * 3 / 4);
     this.largestValue = limits.valueBytes();
     this.clock = clock;
     this.requestCommit = requestCommit;
+    this.migration = new RosterMigration(gate, limits.txnOps());
     clear();
   }
 
@@ -88,8 +92,9 @@
     types.forEach(type -> storedTypes.add(type.name()));
   }
 
-  /** All that is stored, decoded. */
+  /** All that is stored, decoded, for a term that begins. */
   StoredRecords decodeStored() throws Malformed {
+    migration.begin(storedRoster);
     return StoredRecords.decode(storedRoster, storedMarks);
   }
 
@@ -218,6 +223,7 @@
     return catalogueDue
         || !ended.isEmpty()
         || !garbage.isEmpty()
+        || migration.isDue(now)
         || !roster.urgent().isEmpty()
         || !marks.urgent().isEmpty()
         || !roster.overdue(now).isEmpty()
@@ -243,6 +249,22 @@
     writeRosters(roster.overdue(now), transaction);
     writeMarks(marks.overdue(now), transaction);
     removeGarbage(transaction);
+    if (migration.isDue(now)) {
+      migrate(transaction, now);
+    }
+  }
+
+  /**
+   * Migrates a batch, or records the end. A value that an earlier transaction of unknown outcome
+   * may have written in another form is urgent: it is in this transaction, or there is no room for
+   * the end in it.
+   */
+  private void migrate(LeaderTransaction transaction, Instant now) {
+    List<Integer> batch = migration.nextBatch(now);
+    writeRosters(batch, transaction);
+    if (batch.isEmpty() && transaction.hasRoom()) {
+      transaction.addLevel(migration.completedLevel());
+    }
   }
 
   private void writeRosters(List<Integer> numbers, LeaderTransaction transaction) {
@@ -287,7 +309,13 @@
   void written(LeaderTransaction transaction) {
     transaction.marked().forEach(p -> p.marked = true);
     transaction.done().forEach((part, bits) -> part.job().noteDurable(part.part(), bits));
-    transaction.dropped().forEach(garbage::remove);
+    transaction.rosters().forEach(number -> migration.written(number, transaction.level()));
+    for (String key : transaction.dropped()) {
+      garbage.remove(key);
+      if (Keys.isRoster(key)) {
+        migration.removed(Keys.number(key));
+      }
+    }
     if (transaction.hasCatalogue()) {
       catalogueDue = false;
     }
--- a/src/main/java/io/pearscale/scheduler/LeaderRecovery.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderRecovery.java
@@ -125,6 +125,8 @@
     m.recorded = true;
     m.recordedRetiring = e.retiring();
     m.recordedAddress = e.address();
+    m.maintenance = e.maintenance();
+    m.recordedMaintenance = e.maintenance();
     m.everReported = seen;
     m.session = e.session();
     inventory.addFormer(m);
--- a/src/main/java/io/pearscale/scheduler/LeaderTransaction.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderTransaction.java
@@ -41,6 +41,7 @@
   private final int mostChanges;
   private final List<Guard> guards = new ArrayList<>();
   private final List<Change> changes = new ArrayList<>();
+  private final int level;
   private int size = FRAME_SIZE;
 
   private final Set<Integer> rosters = new LinkedHashSet<>();
@@ -58,9 +59,11 @@
    *
    * @param termStamp the stamp of the term's key after the transaction before
    * @param number how many this term has had
+   * @param level the level in whose forms records are written
    */
-  LeaderTransaction(int mostChanges, long term, long termStamp, long number) {
+  LeaderTransaction(int mostChanges, long term, long termStamp, long number, int level) {
     this.mostChanges = mostChanges;
+    this.level = level;
     guards.add(new Guard(Keys.TERM, termStamp));
     changes.add(Change.write(Keys.TERM, MessagePack.map().put("term", term).put("commit", number)));
   }
@@ -104,7 +107,7 @@
     roster.items(number).forEach((place, machine) -> entries.add(machine.rosterEntry(place)));
     rosters.add(number);
     machines.addAll(entries);
-    write(Keys.roster(number), Roster.encode(entries));
+    write(Keys.roster(number), Roster.encode(entries, level));
     size += entries.stream().mapToInt(Roster::size).sum();
     roster.sent(number);
   }
@@ -151,6 +154,17 @@
     size += END_SIZE;
   }
 
+  /** Adds the record of the level, once all records have the form that is written. */
+  void addLevel(JsonNode record) {
+    changes.add(Change.write(Keys.LEVEL, record));
+    size += KEY_SIZE;
+  }
+
+  /** The level in whose forms it writes records. */
+  int level() {
+    return level;
+  }
+
   /** Adds the removal of a value in which nothing lives any more. */
   void addRemoval(String key) {
     changes.add(Change.drop(key));
--- a/src/main/java/io/pearscale/scheduler/Machine.java
+++ b/src/main/java/io/pearscale/scheduler/Machine.java
@@ -3,6 +3,7 @@
 import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.TaskId;
+import io.pearscale.storage.Maintenance;
 import io.pearscale.storage.Roster;
 import java.time.Instant;
 import java.util.HashMap;
@@ -81,6 +82,11 @@
   String recordedAddress = "";
 
   boolean deleteSent;
+
+  /** Whether it is in maintenance, and what of that is durably recorded. */
+  Maintenance maintenance = Maintenance.NONE;
+
+  Maintenance recordedMaintenance = Maintenance.NONE;
   Instant heard = Instant.MIN;
 
   /** When it first answered a command since its last report; only reports renew its lease. */
@@ -135,7 +141,7 @@
   /** What the roster is to say of the machine, at that place. */
   Roster.Entry rosterEntry(int place) {
     return new Roster.Entry(
-        place, name, address, type.name(), zone, spot, session, life == Life.RETIRING);
+        place, name, address, type.name(), zone, spot, session, life == Life.RETIRING, maintenance);
   }
 
   /** A task failed here. */
--- a/src/main/java/io/pearscale/scheduler/MachineInventory.java
+++ b/src/main/java/io/pearscale/scheduler/MachineInventory.java
@@ -33,6 +33,7 @@
   private final InstantSource clock;
   private final Runnable requestPass;
   private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final Collection<Machine> all = Collections.unmodifiableCollection(machines.values());
   private final RemovedMachines removed = new RemovedMachines();
   private final Set<Machine> withCommands = new LinkedHashSet<>();
 
@@ -81,7 +82,7 @@
   }
 
   Collection<Machine> all() {
-    return Collections.unmodifiableCollection(machines.values());
+    return all;
   }
 
   int size() {
--- a/src/main/java/io/pearscale/scheduler/RecordWriter.java
+++ b/src/main/java/io/pearscale/scheduler/RecordWriter.java
@@ -2,15 +2,17 @@
 
 import io.pearscale.protocol.Fields;
 import io.pearscale.protocol.Settings;
+import io.pearscale.scheduler.SchedulerActor.Environment;
+import io.pearscale.scheduler.SchedulerActor.Listener;
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.Roster;
 import io.pearscale.storage.StateClient;
 import io.pearscale.transport.Calls.Reply;
+import io.pearscale.upgrade.LevelGate;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
-import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -45,11 +47,12 @@
   private final MachineInventory inventory;
   private final LeaderRecords records;
   private final InstantSource clock;
-  private final Settings settings;
+  private final Settings.State limits;
   private final StateClient state;
   private final TermExecutor executor;
   private final RandomGenerator random;
-  private final LongConsumer higherTerm;
+  private final LevelGate level;
+  private final Listener listener;
   private final CommandDispatcher dispatcher;
   private final MachineRetirement retirement;
   private long commits;
@@ -59,18 +62,10 @@
   private Instant lastCommit = Instant.MIN;
   private int lastChanges;
 
-  /**
-   * Makes a writer.
-   *
-   * @param higherTerm is told of a higher term than ours
-   */
   RecordWriter(
       LeaderState shared,
-      Settings settings,
-      StateClient state,
+      Environment env,
       TermExecutor executor,
-      RandomGenerator random,
-      LongConsumer higherTerm,
       CommandDispatcher dispatcher,
       MachineRetirement retirement) {
     this.leadership = shared.leadership();
@@ -78,11 +73,12 @@
     this.inventory = shared.inventory();
     this.records = shared.records();
     this.clock = shared.clock();
-    this.settings = settings;
-    this.state = state;
+    this.limits = env.settings().stateLimits();
+    this.state = env.state();
+    this.random = env.random();
+    this.level = env.level();
+    this.listener = env.listener();
     this.executor = executor;
-    this.random = random;
-    this.higherTerm = higherTerm;
     this.dispatcher = dispatcher;
     this.retirement = retirement;
   }
@@ -127,7 +123,7 @@
     if (lastCommit.equals(Instant.MIN)) {
       return Duration.ZERO;
     }
-    double rate = LEADERS_SHARE * settings.stateLimits().writeRps();
+    double rate = LEADERS_SHARE * limits.writeRps();
     Duration pause = Fields.duration(lastChanges / rate);
     if (pause.compareTo(COMMIT_SPACING) < 0) {
       pause = COMMIT_SPACING;
@@ -143,7 +139,11 @@
     }
     LeaderTransaction transaction =
         new LeaderTransaction(
-            settings.stateLimits().txnOps(), leadership.term(), leadership.termStamp(), ++commits);
+            limits.txnOps(),
+            leadership.term(),
+            leadership.termStamp(),
+            ++commits,
+            level.inForce().written());
     records.fill(transaction, inventory.catalogue().types());
     if (transaction.isEmpty() && !heartbeatDue) {
       return;
@@ -206,7 +206,7 @@
     }
     long found = reply.body().path("value").path("term").asLong();
     if (found > leadership.term()) {
-      higherTerm.accept(found);
+      listener.higherTerm(found);
       return;
     }
     // Applied or not: what is due is still marked as due and goes out again, guarded by the
@@ -230,6 +230,7 @@
       machine.recorded = true;
       machine.recordedRetiring = entry.retiring();
       machine.recordedAddress = entry.address();
+      machine.recordedMaintenance = entry.maintenance();
     }
   }
 
--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -6,7 +6,6 @@
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.ReportAnswer;
 import io.pearscale.protocol.Settings;
-import io.pearscale.protocol.Settings.Team;
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.ReplicaActor.Entry;
 import io.pearscale.storage.ReplicaActor.KeyChange;
@@ -14,16 +13,15 @@
 import io.pearscale.transport.Actor;
 import io.pearscale.transport.Calls;
 import io.pearscale.transport.Loop;
+import io.pearscale.upgrade.LevelGate;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -85,90 +83,61 @@
 
   private record CloudSaid(CloudActor.Event event) implements Message {}
 
-  private final Leadership leadership;
-  private final JobTable jobs;
-  private final MachineInventory inventory;
-  private final LeaderRecords records;
-  private final LeaderStatistics statistics;
-  private final CommandDispatcher dispatcher;
-  private final ReportHandler reports;
-  private final MachineHealth health;
-  private final LeaderRecovery recovery;
-  private final PlacementPass passes;
-  private final MachineSupply supply;
-  private final RecordWriter writer;
-  private final TaskCounts counts;
-  private long epoch;
-  private boolean loaded;
-  private Instant nextCounts = Instant.MIN;
-  private int ticks;
+  /** What the scheduler tells its controller. */
+  public interface Listener {
+    /** Somebody leads in a higher term than ours. */
+    void higherTerm(long term);
+
+    /** This controller can't lead, because of a record that it can't read. */
+    void unfit(String reason);
+
+    /** Counts of tasks have changed. */
+    void counts(List<JobCount> counts);
+  }
 
   /**
-   * Makes a scheduler that does not lead.
+   * What the scheduler is given.
    *
-   * @param higherTerm is told of a higher term than ours
-   * @param unfit is told why this controller can't lead, of a record that it can't read
-   * @param countsListener is told of task counts that changed
+   * @param timeOfDay on it, submissions carry their time
+   * @param level says in the forms of which level records are written
    */
-  public SchedulerActor(
+  public record Environment(
       Loop loop,
       StateClient state,
       Calls calls,
       Settings settings,
       Tuning tuning,
+      Operations operations,
       RandomGenerator random,
       InstantSource timeOfDay,
-      LongConsumer higherTerm,
-      Consumer<String> unfit,
-      Consumer<List<JobCount>> countsListener) {
-    super(loop);
-    InstantSource clock = loop.clock();
-    Map<String, Team> teams = new HashMap<>();
-    settings.teams().forEach(t -> teams.put(t.name(), t));
-    TermExecutor executor = new Continuations();
-    WorkerTimes times = WorkerTimes.of(settings.workers());
-    leadership = new Leadership(clock, settings.hold());
-    records = new LeaderRecords(settings.stateLimits(), clock, this::requestCommit);
-    MachineCatalogue catalogue = new MachineCatalogue();
-    JobClasses classes = new JobClasses(settings.objectives(), catalogue.types());
-    JobOrder order = new JobOrder(settings.objectives(), classes);
-    jobs = new JobTable(teams, leadership, clock, timeOfDay, classes::note, this::requestPass);
-    inventory =
-        new MachineInventory(catalogue, teams, leadership, jobs, records, clock, this::requestPass);
-    LeaderState shared =
-        new LeaderState(leadership, jobs, inventory, records, clock, this::requestPass);
-    statistics = new LeaderStatistics(shared);
-    ReportProcessor processor = new ReportProcessor(shared, new FailureJudge(shared), statistics);
-    dispatcher =
-        new CommandDispatcher(shared, settings, times, calls, executor, higherTerm, processor);
-    reports = new ReportHandler(shared, processor, dispatcher, higherTerm);
-    CloudActor cloud = new CloudActor(loop, calls, settings, e -> tell(new CloudSaid(e)));
-    MachineRetirement retirement = new MachineRetirement(shared, cloud);
-    health = new MachineHealth(shared, times, dispatcher, retirement);
-    recovery = new LeaderRecovery(shared, dispatcher, unfit);
-    passes =
-        new PlacementPass(
-            shared,
-            times,
-            new PlacementPass.Policy(tuning, random, teams, classes, order),
-            executor,
-            health,
-            dispatcher,
-            statistics);
-    Fleet fleet = new Fleet(tuning, teams, classes);
-    supply =
-        new MachineSupply(
-            shared, settings, cloud, fleet, order, health, retirement, dispatcher, recovery);
-    writer =
-        new RecordWriter(
-            shared, settings, state, executor, random, higherTerm, dispatcher, retirement);
-    counts = new TaskCounts(jobs, countsListener);
+      LevelGate level,
+      Listener listener) {}
+
+  private final LeaderComponents parts;
+  private final Leadership leadership;
+  private final JobTable jobs;
+  private final MachineInventory inventory;
+  private final LeaderRecords records;
+  private long epoch;
+  private boolean loaded;
+  private Instant nextCounts = Instant.MIN;
+  private int ticks;
+
+  /** Makes a scheduler that does not lead. */
+  public SchedulerActor(Environment environment) {
+    super(environment.loop);
+    parts =
+        new LeaderComponents(environment, new Continuations(), event -> tell(new CloudSaid(event)));
+    leadership = parts.leadership;
+    jobs = parts.jobs;
+    inventory = parts.inventory;
+    records = parts.records;
   }
 
   @Override
   protected void receive(Message message) {
     if (message instanceof Reported m) {
-      m.answer.accept(reports.answer(m.report, m.via));
+      m.answer.accept(parts.reports.answer(m.report, m.via));
     } else if (message instanceof Continuation m) {
       if (leadership.leadsIn(m.term)) {
         m.action.run();
@@ -189,24 +158,16 @@
     } else if (message instanceof Vouched m) {
       vouched(m);
     } else if (message instanceof Acknowledged m && leadership.leadsIn(m.term)) {
-      recovery.formerLeadersEnded();
+      parts.recovery.formerLeadersEnded();
     } else if (message instanceof Lost) {
       lost();
     } else if (message instanceof CloudSaid m && leadership.leading()) {
-      supply.cloudSaid(m.event);
+      parts.supply.cloudSaid(m.event);
     } else if (message instanceof Beat && leadership.ready()) {
-      writer.heartbeat();
+      parts.writer.heartbeat();
     }
   }
 
-  private void requestPass() {
-    passes.request();
-  }
-
-  private void requestCommit() {
-    writer.plan();
-  }
-
   // ---- What the state service holds ----
 
   private void loaded(Loaded m) {
@@ -224,7 +185,7 @@
     epoch = m.epoch;
     takeOverWhenPossible();
     if (leadership.ready()) {
-      passes.request();
+      parts.passes.request();
     }
   }
 
@@ -279,7 +240,7 @@
       p.kills = 0;
       inventory.stop(p);
       inventory.noteCommandDue(p.machine);
-      dispatcher.sendDue(p.machine);
+      parts.dispatcher.sendDue(p.machine);
     }
   }
 
@@ -287,11 +248,11 @@
 
   private void won(Won m) {
     leadership.begin(m.term, m.termStamp, m.evidence);
-    passes.begin();
-    writer.begin();
-    dispatcher.begin();
-    recovery.begin();
-    supply.begin();
+    parts.passes.begin();
+    parts.writer.begin();
+    parts.dispatcher.begin();
+    parts.recovery.begin();
+    parts.supply.begin();
     scheduleTick();
     takeOverWhenPossible();
   }
@@ -300,10 +261,10 @@
     leadership.end();
     inventory.clear();
     jobs.clearWaiting();
-    dispatcher.end();
+    parts.dispatcher.end();
     records.clear();
-    counts.clear();
-    supply.end();
+    parts.counts.clear();
+    parts.supply.end();
     jobs.forgetPlacements();
   }
 
@@ -313,8 +274,8 @@
    */
   private void takeOverWhenPossible() {
     boolean possible = leadership.leading() && loaded && epoch >= leadership.termStamp();
-    if (possible && !leadership.ready() && recovery.takeOver()) {
-      passes.request();
+    if (possible && !leadership.ready() && parts.recovery.takeOver()) {
+      parts.passes.request();
     }
   }
 
@@ -332,27 +293,27 @@
     }
     Instant now = loop.clock().instant();
     checkMachines(now);
-    recovery.noteProgress();
-    passes.request();
-    dispatcher.sendAllDue();
-    supply.rentIfDue(now);
+    parts.recovery.noteProgress();
+    parts.passes.request();
+    parts.dispatcher.sendAllDue();
+    parts.supply.rentIfDue(now);
     if (now.isAfter(nextCounts)) {
       nextCounts = now.plus(COUNTS_SPACING);
       records.collectGarbage();
-      counts.tellChanges();
+      parts.counts.tellChanges();
     }
-    statistics.logIfDue(now, machine -> health.usable(machine, now));
-    writer.planIfDue();
+    parts.statistics.logIfDue(now, machine -> parts.health.usable(machine, now));
+    parts.writer.planIfDue();
   }
 
   /** Looks after each machine once a second at the latest. */
   private void checkMachines(Instant now) {
-    health.beginRound();
+    parts.health.beginRound();
     int slices = Math.min(MOST_SLICES, 1 + inventory.size() / SLICE);
     int i = ++ticks;
     for (Machine machine : List.copyOf(inventory.all())) {
       if (++i % slices == 0 || !machine.settled) {
-        health.check(machine, now);
+        parts.health.check(machine, now);
       }
     }
   }
--- a/src/main/java/io/pearscale/storage/Keys.java
+++ b/src/main/java/io/pearscale/storage/Keys.java
@@ -21,9 +21,17 @@
   /** The last catalogue of machine types. */
   public static final String CATALOGUE = "c/catalogue";
 
+  /** All values of the roster. */
+  public static final String ROSTERS = "c/roster/";
+
+  /** What the controllers that run say of their builds. */
+  public static final String MEMBERS = "c/member/";
+
+  /** What operators want drained, see {@link #drain}. */
+  public static final String DRAINS = "c/drain/";
+
   private static final String LIVE = "c/live/";
   private static final String MARKS = "c/marks/";
-  private static final String ROSTER = "c/roster/";
   private static final String PAST = "p/";
 
   private Keys() {}
@@ -45,7 +53,22 @@
 
   /** A value of the roster, see {@link Roster}. */
   public static String roster(int number) {
-    return ROSTER + number;
+    return ROSTERS + number;
+  }
+
+  /** What a controller says of its build. */
+  public static String member(String host) {
+    return MEMBERS + host;
+  }
+
+  /** What operators want of a drain. */
+  public static String drain(String id) {
+    return DRAINS + id;
+  }
+
+  /** Whether the key is an operator's wish for a drain. */
+  public static boolean isDrain(String key) {
+    return key.startsWith(DRAINS);
   }
 
   /** Whether the key is a job that is not over. */
@@ -60,7 +83,7 @@
 
   /** Whether the key is a value of the roster. */
   public static boolean isRoster(String key) {
-    return key.startsWith(ROSTER);
+    return key.startsWith(ROSTERS);
   }
 
   /** Whether the key holds a record that a new leader must be able to read. */
--- /dev/null
+++ b/src/main/java/io/pearscale/storage/Maintenance.java
@@ -0,0 +1,63 @@
+package io.pearscale.storage;
+
+import io.pearscale.protocol.Malformed;
+
+/**
+ * Whether a machine is in maintenance, as the roster says it from level 1 on.
+ *
+ * @param stage how far it is
+ * @param drain the drain that asked for it; empty when there is none
+ */
+public record Maintenance(Stage stage, String drain) {
+  /** How far a machine is on its way out of service and back. */
+  public enum Stage {
+    /** In service. */
+    NONE(""),
+    /** Gets no new tasks, while those that it has are moved as budgets allow. */
+    CORDONED("c"),
+    /** Empty and out of service. */
+    DRAINED("d"),
+    /** Back in service, with nothing cached: no urgent work until it has shown that it works. */
+    PROBATION("p");
+
+    private final String code;
+
+    Stage(String code) {
+      this.code = code;
+    }
+  }
+
+  /** In service. */
+  public static final Maintenance NONE = new Maintenance(Stage.NONE, "");
+
+  private static final char SEPARATOR = ':';
+
+  /** Whether there is anything to say. */
+  public boolean isNone() {
+    return stage == Stage.NONE;
+  }
+
+  /** Whether the machine may get tasks at all. */
+  public boolean takesTasks() {
+    return stage == Stage.NONE || stage == Stage.PROBATION;
+  }
+
+  /** The form in which it is stored. */
+  String text() {
+    return isNone() ? "" : stage.code + SEPARATOR + drain;
+  }
+
+  /** Reads the stored form. */
+  static Maintenance parse(String text) throws Malformed {
+    if (text.isEmpty()) {
+      return NONE;
+    }
+    int separator = text.indexOf(SEPARATOR);
+    for (Stage stage : Stage.values()) {
+      if (stage != Stage.NONE && separator > 0 && text.startsWith(stage.code + SEPARATOR)) {
+        return new Maintenance(stage, text.substring(separator + 1));
+      }
+    }
+    throw new Malformed("maintenance " + text);
+  }
+}
--- a/src/main/java/io/pearscale/storage/Roster.java
+++ b/src/main/java/io/pearscale/storage/Roster.java
@@ -6,9 +6,11 @@
 import io.pearscale.protocol.Fields;
 import io.pearscale.protocol.Malformed;
 import io.pearscale.transport.MessagePack;
+import io.pearscale.upgrade.Feature;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.OptionalInt;
 
 /**
  * The form in which one value names many machines. A machine is named before anything is started on
@@ -21,6 +23,7 @@
    * @param place where it stands in its value; marks of tasks name machines by value and place
    * @param address empty until the machine has reported
    * @param retiring whether it may be under deletion and must never be used again
+   * @param maintenance whether it is in maintenance; not stored below level 1
    */
   public record Entry(
       int place,
@@ -30,7 +33,11 @@
       String zone,
       boolean spot,
       long session,
-      boolean retiring) {}
+      boolean retiring,
+      Maintenance maintenance) {}
+
+  /** So many fields has an entry at level 0; another one from level 1 on. */
+  private static final int FIELDS_OF_LEVEL_0 = 8;
 
   private Roster() {}
 
@@ -43,12 +50,13 @@
         + e.zone.length();
   }
 
-  /** Encodes a value. */
-  public static JsonNode encode(Collection<Entry> entries) {
+  /** Encodes a value in the form of the level. */
+  public static JsonNode encode(Collection<Entry> entries, int level) {
     ObjectNode value = MessagePack.map();
     ArrayNode list = value.putArray("m");
     for (Entry e : entries) {
-      list.addArray()
+      ArrayNode fields = list.addArray();
+      fields
           .add(e.place)
           .add(e.machine)
           .add(e.address)
@@ -57,10 +65,23 @@
           .add(e.spot)
           .add(e.session)
           .add(e.retiring);
+      if (level >= Feature.MACHINE_MAINTENANCE.level()) {
+        fields.add(e.maintenance.text());
+      }
     }
     return value;
   }
 
+  /**
+   * The level whose form the value has; empty if it has no entries, which is every level's form.
+   */
+  public static OptionalInt levelOf(JsonNode value) {
+    JsonNode first = value.path("m").path(0);
+    return first.isMissingNode()
+        ? OptionalInt.empty()
+        : OptionalInt.of(first.size() > FIELDS_OF_LEVEL_0 ? 1 : 0);
+  }
+
   /** Decodes a value. An entry that can't be read is not taken for absent, as in {@link Marks}. */
   public static List<Entry> decode(JsonNode value) throws Malformed {
     List<Entry> entries = new ArrayList<>();
@@ -73,7 +94,8 @@
               && n.path(4).isTextual()
               && n.path(5).isBoolean()
               && n.path(6).isIntegralNumber()
-              && n.path(7).isBoolean();
+              && n.path(7).isBoolean()
+              && (n.size() <= FIELDS_OF_LEVEL_0 || n.path(8).isTextual());
       if (!complete) {
         throw new Malformed("roster entry " + n.path(1).asText("without a name"));
       }
@@ -86,7 +108,8 @@
               n.path(4).textValue(),
               n.path(5).booleanValue(),
               n.path(6).longValue(),
-              n.path(7).booleanValue()));
+              n.path(7).booleanValue(),
+              Maintenance.parse(n.path(8).asText(""))));
     }
     return entries;
   }
--- a/src/main/java/io/pearscale/upgrade/ClusterLevel.java
+++ b/src/main/java/io/pearscale/upgrade/ClusterLevel.java
@@ -1,16 +1,64 @@
 package io.pearscale.upgrade;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pearscale.protocol.Fields;
 import io.pearscale.protocol.Malformed;
+import io.pearscale.transport.MessagePack;
 
-/** The level of stored state that is in force in a cluster, as the state service holds it. */
-public record ClusterLevel(int level) {
+/**
+ * The level of stored state that is in force in a cluster, as the state service holds it.
+ *
+ * @param level records may have any form up to this level, so whoever takes part must be able to
+ *     read it
+ * @param written the level whose forms are written; below {@code level} while a step is taken back
+ * @param migrated whether all records have the form of {@code written}
+ */
+public record ClusterLevel(int level, int written, boolean migrated) {
   /** In force where nothing is stored: the form from before there were levels. */
-  public static final ClusterLevel UNVERSIONED = new ClusterLevel(0);
+  public static final ClusterLevel UNVERSIONED = new ClusterLevel(0, 0, true);
+
+  private static final String LEVEL = "level";
+  private static final String WRITTEN = "written";
+  private static final String MIGRATED = "migrated";
 
   /** Reads the record; fields that a later release may add are passed over. */
   public static ClusterLevel parse(JsonNode value) throws Malformed {
-    return new ClusterLevel((int) Fields.integer(Fields.map(value), "level", 0, Integer.MAX_VALUE));
+    JsonNode map = Fields.map(value);
+    int level = (int) Fields.integer(map, LEVEL, 0, Integer.MAX_VALUE);
+    int written = map.has(WRITTEN) ? (int) Fields.integer(map, WRITTEN, 0, level) : level;
+    boolean migrated = map.has(MIGRATED) ? map.path(MIGRATED).asBoolean() : level == 0;
+    return new ClusterLevel(level, written, migrated);
+  }
+
+  /** Adds the record's fields to what else is stored beside them. */
+  public ObjectNode toNode(JsonNode stored) {
+    ObjectNode node = stored.isObject() ? stored.deepCopy() : MessagePack.map();
+    return node.put(LEVEL, level).put(WRITTEN, written).put(MIGRATED, migrated);
+  }
+
+  /** The level above, whose forms are written from now on. */
+  public ClusterLevel raised() {
+    return new ClusterLevel(level + 1, level + 1, false);
+  }
+
+  /** The level's own forms are written again, after a step that was to be taken back. */
+  public ClusterLevel resumed() {
+    return new ClusterLevel(level, level, false);
+  }
+
+  /** The forms of the level below are written; it comes into force when all records have them. */
+  public ClusterLevel goingBack() {
+    return new ClusterLevel(level, level - 1, false);
+  }
+
+  /** All records have the form that is written. */
+  public ClusterLevel completed() {
+    return new ClusterLevel(written, written, true);
+  }
+
+  /** Whether a step is being taken back. */
+  public boolean isGoingBack() {
+    return written < level;
   }
 }
--- a/src/main/java/io/pearscale/upgrade/LevelGate.java
+++ b/src/main/java/io/pearscale/upgrade/LevelGate.java
@@ -1,7 +1,9 @@
 package io.pearscale.upgrade;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pearscale.protocol.Malformed;
+import io.pearscale.transport.MessagePack;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -19,6 +21,8 @@
 
   private final SupportedLevels supported;
   private long stamp = ABSENT;
+  private ClusterLevel inForce = ClusterLevel.UNVERSIONED;
+  private JsonNode stored = MessagePack.MISSING;
   private Optional<String> objection;
 
   /** A gate for a build that supports those levels; until told otherwise level 0 is in force. */
@@ -30,6 +34,7 @@
   /** The stored level has changed; empty when there is none. */
   public void update(Optional<JsonNode> value, long newStamp) {
     stamp = value.isPresent() ? newStamp : ABSENT;
+    stored = value.orElse(MessagePack.MISSING);
     objection = judge(value);
   }
 
@@ -47,12 +52,25 @@
     return objection;
   }
 
+  /** The level in force; without a meaning while there is an objection. */
+  public ClusterLevel inForce() {
+    return inForce;
+  }
+
+  /** Whether the feature may be used. */
+  public boolean isOn(Feature feature) {
+    return feature.isOn(inForce);
+  }
+
+  /** The record of the level once all records have the form that is written. */
+  public ObjectNode completed() {
+    return inForce.completed().toNode(stored);
+  }
+
   private Optional<String> judge(Optional<JsonNode> value) {
-    if (value.isEmpty()) {
-      return objectionTo(ClusterLevel.UNVERSIONED);
-    }
     try {
-      return objectionTo(ClusterLevel.parse(value.get()));
+      inForce = value.isEmpty() ? ClusterLevel.UNVERSIONED : ClusterLevel.parse(value.get());
+      return objectionTo(inForce);
     } catch (Malformed e) {
       return Optional.of("the level of the stored state can't be read: " + e.getMessage());
     }
--- /dev/null
+++ b/src/main/java/io/pearscale/upgrade/MemberSupport.java
@@ -0,0 +1,36 @@
+package io.pearscale.upgrade;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.Fields;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.transport.MessagePack;
+
+/**
+ * What a controller says of its build. The record hangs on a grant that the running process renews,
+ * so it is gone soon after the process has ended.
+ *
+ * @param incarnation differs from one life of the process to the next
+ * @param release the build's release, for people
+ */
+public record MemberSupport(SupportedLevels levels, long incarnation, String release) {
+  /** Reads the record. */
+  public static MemberSupport parse(JsonNode value) throws Malformed {
+    JsonNode map = Fields.map(value);
+    int lowest = (int) Fields.integer(map, "lowest", 0, Integer.MAX_VALUE);
+    int highest = (int) Fields.integer(map, "highest", lowest, Integer.MAX_VALUE);
+    return new MemberSupport(
+        new SupportedLevels(lowest, highest),
+        map.path("incarnation").asLong(),
+        map.path("release").asText());
+  }
+
+  /** The record. */
+  public ObjectNode toNode() {
+    return MessagePack.map()
+        .put("lowest", levels.lowest())
+        .put("highest", levels.highest())
+        .put("incarnation", incarnation)
+        .put("release", release);
+  }
+}
--- a/src/main/java/io/pearscale/upgrade/SupportedLevels.java
+++ b/src/main/java/io/pearscale/upgrade/SupportedLevels.java
@@ -5,8 +5,11 @@
  * for the forms of all records together; a release that changes the form of any record adds one.
  */
 public record SupportedLevels(int lowest, int highest) {
-  /** What this build supports. Level 0 is the form from before there were levels. */
-  public static final SupportedLevels OF_THIS_BUILD = new SupportedLevels(0, 0);
+  /**
+   * What this build supports. Level 0 is the form from before there were levels; level 1 says of
+   * each machine whether it is in maintenance.
+   */
+  public static final SupportedLevels OF_THIS_BUILD = new SupportedLevels(0, 1);
 
   /** Checks the range. */
   public SupportedLevels {
@@ -15,6 +18,11 @@
     }
   }
 
+  /** The same without the levels above that one, as a build before them supported. */
+  public SupportedLevels upTo(int most) {
+    return new SupportedLevels(Math.min(lowest, most), Math.min(highest, most));
+  }
+
   /** Whether the level lies in the range. */
   public boolean contains(int level) {
     return lowest <= level && level <= highest;
--- /dev/null
+++ b/src/main/java/io/pearscale/upgrade/UpgradePlan.java
@@ -0,0 +1,126 @@
+package io.pearscale.upgrade;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Decides which steps of an upgrade may be taken. Pure: it knows what was read of the cluster at
+ * one moment; whoever carries a step out guards it by the stamps of what was read.
+ *
+ * @param inForce the level as it is stored
+ * @param hosts all configured controllers
+ * @param members what the controllers that run say of themselves
+ * @param inMaintenance machines that the records say are in maintenance
+ */
+public record UpgradePlan(
+    ClusterLevel inForce,
+    Set<String> hosts,
+    Map<String, MemberSupport> members,
+    List<String> inMaintenance) {
+
+  /** What comes of a wish. */
+  public sealed interface Outcome {}
+
+  /** The level is to become this. */
+  public record Change(ClusterLevel next) implements Outcome {}
+
+  /** Nothing is to be done, and why. */
+  public record Nothing(String why) implements Outcome {}
+
+  /** The step must not be taken, and why. */
+  public record Refusal(List<String> reasons) implements Outcome {}
+
+  /**
+   * Raises the level by one.
+   *
+   * @param build what the operator's own build supports
+   * @param absent controllers that are away, which the operator vouches for
+   */
+  public Outcome finalise(SupportedLevels build, Set<String> absent) {
+    int target = inForce.isGoingBack() ? inForce.level() : inForce.level() + 1;
+    if (target > build.highest()) {
+      return inForce.migrated()
+          ? new Nothing("level " + inForce.level() + " is the highest that this build supports")
+          : new Nothing("level " + inForce.level() + " is in force, its records are migrated");
+    }
+    List<String> reasons = objections(target, absent);
+    if (!inForce.isGoingBack() && !inForce.migrated()) {
+      reasons.add("the records of level " + inForce.level() + " are still migrated");
+    }
+    if (!reasons.isEmpty()) {
+      return new Refusal(reasons);
+    }
+    return new Change(inForce.isGoingBack() ? inForce.resumed() : inForce.raised());
+  }
+
+  /** Takes the last step back: the records get the forms of the level below. */
+  public Outcome rollback(SupportedLevels build) {
+    if (inForce.level() == 0) {
+      return new Nothing("level 0 is in force, there is nothing to take back");
+    }
+    if (inForce.isGoingBack()) {
+      return new Nothing("the records are already written in the forms of " + inForce.written());
+    }
+    int target = inForce.level() - 1;
+    List<String> reasons = new ArrayList<>();
+    if (!build.contains(target) || !build.contains(inForce.level())) {
+      reasons.add("this build supports " + build);
+    }
+    members.forEach(
+        (host, member) -> {
+          if (!member.levels().contains(target)) {
+            reasons.add(host + " supports " + member.levels() + ", not level " + target);
+          }
+        });
+    if (target < Feature.MACHINE_MAINTENANCE.level() && !inMaintenance.isEmpty()) {
+      reasons.add(
+          "level "
+              + target
+              + " can't say that machines are in maintenance: "
+              + String.join(", ", inMaintenance));
+    }
+    return reasons.isEmpty() ? new Change(inForce.goingBack()) : new Refusal(reasons);
+  }
+
+  /** What holds the level up; empty when all controllers support it. */
+  private List<String> objections(int target, Set<String> absent) {
+    List<String> reasons = new ArrayList<>();
+    for (String host : new TreeSet<>(hosts)) {
+      MemberSupport member = members.get(host);
+      if (member == null && !absent.contains(host)) {
+        reasons.add(host + " was not seen: it is away, or its build does not say what it supports");
+      } else if (member != null && !member.levels().contains(target)) {
+        reasons.add(host + " supports " + member.levels() + ", not level " + target);
+      }
+    }
+    for (String host : new TreeSet<>(absent)) {
+      if (!hosts.contains(host)) {
+        reasons.add(host + " is no controller of this cluster");
+      } else if (members.containsKey(host)) {
+        reasons.add(host + " is not away");
+      }
+    }
+    return reasons;
+  }
+
+  /** What an operator does next. */
+  public String nextStep(SupportedLevels build) {
+    if (inForce.isGoingBack()) {
+      return "wait until level " + inForce.written() + " is in force, or finalise again";
+    }
+    if (!inForce.migrated()) {
+      return "wait until all records are at level " + inForce.level();
+    }
+    Outcome outcome = finalise(build, Set.of());
+    if (outcome instanceof Change change) {
+      return "finalise level " + change.next().level();
+    }
+    return outcome instanceof Refusal refusal
+        ? "mend what holds level %d up: %s"
+            .formatted(inForce.level() + 1, String.join("; ", refusal.reasons()))
+        : "none";
+  }
+}
--- a/src/test/java/io/pearscale/cli/SettingsTest.java
+++ b/src/test/java/io/pearscale/cli/SettingsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.pearscale.protocol.Settings;
+import io.pearscale.scheduler.Operations;
 import io.pearscale.scheduler.Tuning;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -27,6 +28,25 @@
     }
   }
 
+  private Operations operations(String text) throws Exception {
+    return OperationsReader.read(Optional.of(Files.writeString(folder.resolve("o.sexp"), text)));
+  }
+
+  @Test
+  void whatIsSwitchedOnIsSpeltRight() throws Exception {
+    Operations on = operations("; comment\n(announce-support-s 30) (highest-level 0)");
+    assertEquals(Optional.of(Duration.ofSeconds(30)), on.announceSupport());
+    assertEquals(0, on.highestLevel());
+    assertEquals(Operations.off(), operations(""));
+    for (String bad :
+        new String[] {
+          "(announce-suport-s 30)", "(announce-support-s 1)", "(highest-level x)", "()", "(", "x"
+        }) {
+      SettingsError error = assertThrows(SettingsError.class, () -> operations(bad), bad);
+      assertTrue(error.getMessage().contains("o.sexp"), error.getMessage());
+    }
+  }
+
   static String settings(int client, int back, int peer, int services) {
     return """
         host_name = "hive-0"
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/LoopbackWorld.java
@@ -0,0 +1,252 @@
+package io.pearscale.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pearscale.transport.Calls.Reply;
+import io.pearscale.transport.HttpCalls;
+import io.pearscale.transport.MessagePack;
+import io.pearscale.transport.XnioLoop;
+import io.undertow.Undertow;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Plays a scenario in real time against three real processes. The state service, the cloud, the
+ * workers and the users are the stand-ins of the simulated world, put behind sockets on loopback.
+ */
+final class LoopbackWorld implements AutoCloseable {
+  static final int NODES = 3;
+  private static final Duration PUMP = Duration.ofMillis(1);
+  private static final int CLIENT_PORTS = 10;
+  private static final int PEER_PORTS = 20;
+  private static final long ANSWER_SECONDS = 10;
+
+  private final int port;
+  private final World world;
+  private final XnioWorker worker;
+  private final XnioLoop loop;
+  private final HttpCalls calls;
+  private final Undertow server;
+  private final Path folder;
+  private final Map<String, Process> processes = new HashMap<>();
+  private final Map<String, String> machines = new HashMap<>();
+  private final long began = System.nanoTime();
+  private volatile boolean playing = true;
+
+  /**
+   * Puts the world behind sockets.
+   *
+   * @param port the services' port; the controllers' follow within thirty
+   * @param folder where settings and logs are written
+   */
+  LoopbackWorld(World world, int port, Path folder) throws IOException {
+    this.port = port;
+    this.world = world;
+    this.folder = folder;
+    this.worker =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_IO_THREADS, 1)
+                    .set(Options.TCP_NODELAY, true)
+                    .getMap());
+    DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, 8192, 400, 4);
+    this.loop = new XnioLoop(worker.getIoThread());
+    this.calls = new HttpCalls(loop, worker.getIoThread(), buffers, 6000);
+    this.server =
+        Undertow.builder()
+            .setWorker(worker)
+            .setByteBufferPool(buffers)
+            .addHttpListener(port, "0.0.0.0")
+            .setHandler(x -> x.dispatch(SameThreadExecutor.INSTANCE, () -> receive(x)))
+            .build();
+    server.start();
+    world.machineAddress = this::machineAddress;
+    for (int i = 0; i < NODES; i++) {
+      int node = i;
+      world
+          .nodes
+          .get("hive-" + i)
+          .answerBy((from, method, path, body, to) -> ask(node, from, method, path, body, to));
+    }
+  }
+
+  /** Each machine has a loopback address of its own, which also tells which one is meant. */
+  private String machineAddress(String machine) {
+    int number = Integer.parseInt(machine.substring(2));
+    String address = "127.1.%d.%d:%d".formatted(number / 250, 1 + number % 250, port);
+    machines.put(address, machine);
+    return address;
+  }
+
+  private void receive(HttpServerExchange exchange) {
+    exchange
+        .getRequestReceiver()
+        .receiveFullBytes(
+            (x, bytes) -> x.dispatch(SameThreadExecutor.INSTANCE, () -> handle(x, bytes)));
+  }
+
+  private void handle(HttpServerExchange exchange, byte[] bytes) {
+    String host = exchange.getHostAndPort();
+    String from = "hive-0";
+    String to;
+    if (machines.containsKey(host)) {
+      to = machines.get(host);
+    } else {
+      int last = Integer.parseInt(host.substring(host.lastIndexOf('.') + 1, host.indexOf(':')));
+      to = last >= 100 ? "cloud" : "state";
+      from = "hive-" + last % 10;
+    }
+    JsonNode body =
+        bytes.length == 0 ? MessagePack.MISSING : MessagePack.decode(bytes).orElseThrow();
+    String query = exchange.getQueryString();
+    String path = exchange.getRequestPath() + (query.isEmpty() ? "" : "?" + query);
+    world.serve(
+        from,
+        to,
+        exchange.getRequestMethod().toString(),
+        path,
+        body,
+        reply -> loop.execute(() -> respond(exchange, reply)));
+  }
+
+  private static void respond(HttpServerExchange exchange, Reply reply) {
+    exchange.setStatusCode(reply.status() == 0 ? 503 : reply.status());
+    byte[] bytes = MessagePack.encode(reply.body());
+    exchange.setResponseContentLength(bytes.length);
+    exchange.getResponseSender().send(ByteBuffer.wrap(bytes));
+  }
+
+  private String settings(int node) {
+    StringBuilder s = new StringBuilder();
+    s.append("host_name = \"hive-%d\"\ndomain = \"a\"\n".formatted(node))
+        .append("client_listen = \"0.0.0.0:%d\"\n".formatted(port + CLIENT_PORTS + node))
+        .append("back = \"127.0.0.1:%d\"\n".formatted(port + PEER_PORTS + node));
+    for (int i = 0; i < NODES; i++) {
+      if (i != node) {
+        s.append("[[peers]]\nhost_name = \"hive-%d\"\ndomain = \"a\"\n".formatted(i))
+            .append("address = \"127.0.0.1:%d\"\n".formatted(port + PEER_PORTS + i));
+      }
+    }
+    s.append("[endpoints]\ncloud = \"127.0.2.10%d:%d\"\n".formatted(node, port))
+        .append("state = \"127.0.2.%d:%d\"\n".formatted(10 + node, port))
+        .append("[facts]\nnodes = 3\n");
+    world.teams.forEach(
+        t ->
+            s.append("[[facts.teams]]\nname = \"%s\"\n".formatted(t.name()))
+                .append("cpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n"));
+    world.objectives.forEach(
+        o ->
+            s.append("[[facts.objectives]]\nkind = \"%s\"\n".formatted(o.kind()))
+                .append("class = \"%s\"\n".formatted(o.jobClass()))
+                .append("within_s = %s\n".formatted(o.within().toMillis() / 1000.0)));
+    return s.append("[facts.workers]\nreport_s = %s\n".formatted(world.report.toMillis() / 1000.0))
+        .append("lease_s = %s\n".formatted(world.lease.toMillis() / 1000.0))
+        .append("cancel_s = %s\n".formatted(world.cancel.toMillis() / 1000.0))
+        .append("[facts.state]\nrps = 150.0\nwrite_rps = 50.0\nvalue_kb = 8.0\ntxn_ops = 40\n")
+        .append("[facts.cloud]\nrps = 4.0\nlist_lag_s = 10.0\n")
+        .append("[facts.limits]\nfd_limit = 2000\n")
+        .toString();
+  }
+
+  /** Writes the settings of a controller. */
+  Path settingsFile(int node) throws IOException {
+    return Files.writeString(folder.resolve("hive-" + node + ".toml"), settings(node));
+  }
+
+  /** What the controller has logged so far. */
+  Path logFile(int node) {
+    return folder.resolve("hive-" + node + ".log");
+  }
+
+  /** Starts a controller with that command. */
+  void launch(int node, Path directory, List<String> command) throws IOException {
+    processes.put(
+        "hive-" + node,
+        new ProcessBuilder(command)
+            .directory(directory.toFile())
+            .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+            .redirectError(ProcessBuilder.Redirect.appendTo(logFile(node).toFile()))
+            .start());
+  }
+
+  /** Ends a controller's process without a signal that it could see. */
+  void kill(int node) {
+    processes.get("hive-" + node).destroyForcibly();
+  }
+
+  /** The processes that were started last, by host. */
+  Map<String, Process> processes() {
+    return processes;
+  }
+
+  private void ask(
+      int node, String from, String method, String path, JsonNode body, Consumer<Reply> answer) {
+    // A worker's connection is its own, as it is in production: other address, other connection.
+    String host =
+        world.workers.containsKey(from)
+            ? machineAddress(from).replaceFirst(":.*", "")
+            : "127.0.3." + (1 + world.random.nextInt(8));
+    String address = host + ":" + (port + CLIENT_PORTS + node);
+    loop.execute(() -> calls.call(address, method, path, body, Duration.ofSeconds(4), answer));
+  }
+
+  /** Lets the world's time pass as real time does. */
+  void play() {
+    loop.execute(this::pump);
+  }
+
+  private void pump() {
+    world.playTo(passed());
+    if (playing) {
+      loop.after(PUMP, this::pump);
+    }
+  }
+
+  Duration passed() {
+    return Duration.ofNanos(System.nanoTime() - began);
+  }
+
+  /** Runs on the world's thread after the delay. */
+  void after(Duration delay, Runnable task) {
+    loop.after(delay, task);
+  }
+
+  /** Asks something of the world on its own thread. */
+  <T> T ask(Supplier<T> question) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    loop.execute(
+        () -> {
+          try {
+            answer.complete(question.get());
+          } catch (RuntimeException e) {
+            answer.completeExceptionally(e);
+          }
+        });
+    return answer.orTimeout(ANSWER_SECONDS, TimeUnit.SECONDS).join();
+  }
+
+  @Override
+  public void close() {
+    playing = false;
+    processes.values().forEach(Process::destroyForcibly);
+    server.stop();
+    worker.shutdownNow();
+  }
+}
--- a/src/test/java/io/pearscale/sim/SimNode.java
+++ b/src/test/java/io/pearscale/sim/SimNode.java
@@ -261,7 +261,7 @@
             p,
             world.settings(name),
             supported,
-            Tuning.defaults(),
+            new Controller.Options(Tuning.defaults(), world.operations),
             RandomGeneratorFactory.of("L64X128MixRandom").create(world.random.nextLong()),
             () -> world.now);
     controller.start();
--- a/src/test/java/io/pearscale/sim/SimState.java
+++ b/src/test/java/io/pearscale/sim/SimState.java
@@ -2,7 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.storage.Roster;
 import io.pearscale.transport.Calls.Reply;
+import io.pearscale.upgrade.ClusterLevel;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -50,6 +53,9 @@
 
   Duration lateBy = Duration.ofSeconds(5);
 
+  private int troubleIn;
+  private String trouble = "";
+
   SimState(World world) {
     this.world = world;
   }
@@ -90,6 +96,10 @@
     } else if (path.startsWith("/keys?")) {
       list(query(path), answer);
     } else if (path.equals("/commit")) {
+      if (troubleNow(from, body)) {
+        troubled(from, body);
+        return;
+      }
       if (lateCommits > 0) {
         lateCommits--;
         world.after(lateBy, () -> commit(from, body, r -> {}));
@@ -214,10 +224,72 @@
         history.add(new Changed(c.path("drop").asText(), null, epoch));
       }
     }
+    checkForms();
     notifyWatches();
     answer.accept(ok(World.map().put("epoch", epoch)));
   }
 
+  /** No record has a later form than the level in force, nor another one once all are migrated. */
+  private void checkForms() {
+    ClusterLevel level = level();
+    under("c/roster/")
+        .forEach(
+            (key, value) -> {
+              int form = Roster.levelOf(value).orElse(level.written());
+              if (form > level.level() || level.migrated() && form < level.level()) {
+                world.breaks("form_of_other_level", key + " has form " + form + " at " + level);
+              }
+            });
+  }
+
+  /** The stored level. */
+  ClusterLevel level() {
+    try {
+      return pairs.containsKey("c/level")
+          ? ClusterLevel.parse(pairs.get("c/level").value)
+          : ClusterLevel.UNVERSIONED;
+    } catch (Malformed e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** The leader meets a trouble at its next transaction but so many. */
+  void troubleAtCommit(int number, String kind) {
+    troubleIn = number;
+    trouble = kind;
+  }
+
+  private boolean troubleNow(String from, JsonNode body) {
+    boolean leaders = false;
+    for (JsonNode change : body.path("then")) {
+      leaders |= change.path("write").asText().equals("c/term");
+    }
+    return leaders && world.nodes.containsKey(from) && troubleIn > 0 && --troubleIn == 0;
+  }
+
+  /** The transaction is lost, is applied unanswered, or is applied late; its sender ends. */
+  private void troubled(String from, JsonNode body) {
+    world.note("trouble " + trouble + " for " + from);
+    switch (trouble) {
+      case "crash-before" -> world.nodes.get(from).crash();
+      case "crash-after" -> {
+        commit(from, body, r -> {});
+        world.nodes.get(from).crash();
+      }
+      case "crash-late" -> {
+        world.after(lateBy, () -> commit(from, body, r -> {}));
+        world.nodes.get(from).crash();
+      }
+      case "freeze" -> {
+        world.nodes.get(from).freeze(lateBy, false);
+        world.after(lateBy, () -> commit(from, body, r -> {}));
+        return;
+      }
+      default -> throw new IllegalArgumentException(trouble);
+    }
+    world.after(Duration.ofSeconds(3), world.nodes.get(from)::start);
+  }
+
   /** No controller writes under a level that its build does not support. */
   private void checkLevel(String from) {
     SimNode node = world.nodes.get(from);
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/UpgradeStepsTest.java
@@ -0,0 +1,110 @@
+package io.pearscale.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Raises the level and takes it back, and has the leader meet a trouble at each of the transactions
+ * that follow. Whatever was durable by then, the migration comes to its end, no record has a form
+ * that the level does not allow, and all work comes right.
+ */
+class UpgradeStepsTest {
+  private static final int TRANSACTIONS = Integer.getInteger("pearscale.upgradeSteps", 12);
+  private static final List<String> TROUBLES =
+      List.of("crash-before", "crash-after", "crash-late", "freeze");
+
+  private static final String DAY =
+      """
+      nodes 3
+      value-bytes 1024
+      zones a b
+      type small cpus=8 mem=64 boot=5
+      machines small a ordinary 16
+      machines small b ordinary 16
+      team t
+      at 2 submit wk-1 service tasks=10 cpus=4 spread
+      at 3 submit wk-2 batch tasks=40 cpus=1 run=25
+      at 20 level 1
+      %s
+      at 60 check level 1
+      at 61 submit wk-3 batch tasks=8 cpus=1 run=20
+      at 70 level-back
+      %s
+      at 110 check level 0
+      at 111 submit wk-4 batch tasks=4 cpus=1 run=5
+      until 170
+      expect level 0
+      expect wk-1 present 10
+      expect wk-2 stage done
+      expect wk-3 stage done
+      expect wk-4 stage done
+      """;
+
+  /** A step writes each value of the roster once, and the leader's own key with each batch. */
+  @Test
+  void aMigrationCostsOneWriteAValue() {
+    String text =
+        """
+        nodes 3
+        value-bytes 1024
+        zones a b
+        type small cpus=8 mem=64 boot=5
+        machines small a ordinary 150
+        machines small b ordinary 150
+        team t
+        at 2 submit wk-1 service tasks=1200 cpus=2
+        until 120
+        """;
+    Scenario scenario = Scenario.of(text, 1);
+    World world = scenario.world();
+    long[] writes = new long[2];
+    Duration[] ended = new Duration[1];
+    world.at(World.START.plusSeconds(40), () -> writes[0] = world.state.writes);
+    world.at(
+        World.START.plusSeconds(40), () -> world.state.set("c/level", World.map().put("level", 1)));
+    awaitLevel(world, writes, ended);
+    assertEquals(List.of(), scenario.run());
+    int values = world.state.under("c/roster/").size();
+    long added = writes[1] - writes[0];
+    assertTrue(values >= 40, "values " + values);
+    assertTrue(added <= values + 2L * (values / 3 + 2), added + " writes for " + values);
+    assertTrue(ended[0].toSeconds() <= 40 + values / 3 + 5, "ended after " + ended[0]);
+  }
+
+  private static void awaitLevel(World world, long[] writes, Duration[] ended) {
+    world.at(
+        World.START.plusSeconds(41),
+        new Runnable() {
+          @Override
+          public void run() {
+            if (world.state.level().migrated()) {
+              writes[1] = world.state.writes;
+              ended[0] = world.passed();
+            } else {
+              world.after(Duration.ofMillis(100), this);
+            }
+          }
+        });
+  }
+
+  @Test
+  void theLeaderMeetsATroubleAtEachStep() {
+    List<String> bad = new ArrayList<>();
+    for (String trouble : TROUBLES) {
+      for (int number = 1; number <= TRANSACTIONS; number++) {
+        String up = "at 20.001 at-commit %d %s".formatted(number, trouble);
+        String down = "at 70.001 at-commit %d %s".formatted(number, trouble);
+        List<String> failures = Scenario.play(DAY.formatted(up, down), number);
+        if (!failures.isEmpty()) {
+          bad.add(trouble + " at " + number + ":\n" + String.join("\n", failures));
+        }
+      }
+    }
+    assertTrue(bad.isEmpty(), String.join("\n\n", bad));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/upgrade/UpgradePlanTest.java
@@ -0,0 +1,118 @@
+package io.pearscale.upgrade;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.transport.MessagePack;
+import io.pearscale.upgrade.UpgradePlan.Change;
+import io.pearscale.upgrade.UpgradePlan.Nothing;
+import io.pearscale.upgrade.UpgradePlan.Outcome;
+import io.pearscale.upgrade.UpgradePlan.Refusal;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/** Which steps may be taken, and how the level's record changes with them. */
+class UpgradePlanTest {
+  private static final SupportedLevels OLD = new SupportedLevels(0, 0);
+  private static final SupportedLevels NEW = new SupportedLevels(0, 1);
+  private static final Set<String> HOSTS = Set.of("a", "b", "c");
+  private static final ClusterLevel RAISED = new ClusterLevel(1, 1, true);
+
+  private static UpgradePlan plan(ClusterLevel level, Map<String, SupportedLevels> seen) {
+    Map<String, MemberSupport> members = new TreeMap<>();
+    seen.forEach((host, levels) -> members.put(host, new MemberSupport(levels, 1, "r")));
+    return new UpgradePlan(level, HOSTS, members, List.of());
+  }
+
+  private static final Map<String, SupportedLevels> ALL_NEW = Map.of("a", NEW, "b", NEW, "c", NEW);
+
+  private static void refused(Outcome outcome, String reason) {
+    assertTrue(assertInstanceOf(Refusal.class, outcome).reasons().contains(reason), "" + outcome);
+  }
+
+  @Test
+  void theLevelRisesWhenAllWereSeenToSupportIt() {
+    assertEquals(
+        new Change(new ClusterLevel(1, 1, false)),
+        plan(ClusterLevel.UNVERSIONED, ALL_NEW).finalise(NEW, Set.of()));
+  }
+
+  @Test
+  void whoIsAwayOrOldHoldsItUp() {
+    UpgradePlan plan = plan(ClusterLevel.UNVERSIONED, Map.of("a", NEW, "b", OLD));
+    refused(plan.finalise(NEW, Set.of()), "b supports 0, not level 1");
+    refused(
+        plan.finalise(NEW, Set.of()),
+        "c was not seen: it is away, or its build does not say what it supports");
+    refused(plan.finalise(NEW, Set.of("c")), "b supports 0, not level 1");
+  }
+
+  @Test
+  void onlyWhoIsAwayCanBeVouchedFor() {
+    Map<String, SupportedLevels> seen = Map.of("a", NEW, "b", NEW);
+    UpgradePlan plan = plan(ClusterLevel.UNVERSIONED, seen);
+    assertInstanceOf(Change.class, plan.finalise(NEW, Set.of("c")));
+    refused(plan.finalise(NEW, Set.of("c", "b")), "b is not away");
+    refused(plan.finalise(NEW, Set.of("c", "x")), "x is no controller of this cluster");
+  }
+
+  @Test
+  void oneStepAfterTheOther() {
+    SupportedLevels later = new SupportedLevels(0, 2);
+    Map<String, SupportedLevels> seen = Map.of("a", later, "b", later, "c", later);
+    refused(
+        plan(new ClusterLevel(1, 1, false), seen).finalise(later, Set.of()),
+        "the records of level 1 are still migrated");
+    assertEquals(
+        new Change(new ClusterLevel(2, 2, false)), plan(RAISED, seen).finalise(later, Set.of()));
+    assertInstanceOf(Nothing.class, plan(RAISED, ALL_NEW).finalise(NEW, Set.of()));
+  }
+
+  @Test
+  void aStepIsTakenBackAndTakenAgain() {
+    ClusterLevel back = new ClusterLevel(1, 0, false);
+    assertEquals(new Change(back), plan(RAISED, ALL_NEW).rollback(NEW));
+    assertEquals(
+        new Change(back), plan(new ClusterLevel(1, 1, false), ALL_NEW).rollback(NEW), "midway");
+    assertInstanceOf(Nothing.class, plan(back, ALL_NEW).rollback(NEW));
+    assertEquals(
+        new Change(new ClusterLevel(1, 1, false)), plan(back, ALL_NEW).finalise(NEW, Set.of()));
+    assertInstanceOf(Nothing.class, plan(ClusterLevel.UNVERSIONED, ALL_NEW).rollback(NEW));
+    assertEquals(ClusterLevel.UNVERSIONED, back.completed());
+  }
+
+  @Test
+  void whatTheLevelBelowCantSayHoldsARollbackUp() {
+    UpgradePlan plan = new UpgradePlan(RAISED, HOSTS, Map.of(), List.of("m-7"));
+    refused(plan.rollback(NEW), "level 0 can't say that machines are in maintenance: m-7");
+    SupportedLevels later = new SupportedLevels(1, 1);
+    refused(plan(RAISED, Map.of("a", later)).rollback(NEW), "a supports 1, not level 0");
+    refused(plan(RAISED, ALL_NEW).rollback(later), "this build supports 1");
+  }
+
+  @Test
+  void theRecordKeepsWhatALaterReleaseAdded() throws Malformed {
+    ObjectNode stored = MessagePack.map().put("level", 1).put("later", "x");
+    ObjectNode next = ClusterLevel.parse(stored).goingBack().toNode(stored);
+    assertEquals("x", next.path("later").asText());
+    assertEquals(new ClusterLevel(1, 0, false), ClusterLevel.parse(next));
+  }
+
+  @Test
+  void contradictoryRecordsAreNoLevel() {
+    assertThrows(
+        Malformed.class,
+        () -> ClusterLevel.parse(MessagePack.map().put("level", 0).put("written", 1)));
+    assertThrows(Malformed.class, () -> MemberSupport.parse(MessagePack.map().put("lowest", 2)));
+    assertThrows(
+        Malformed.class,
+        () -> MemberSupport.parse(MessagePack.map().put("lowest", 2).put("highest", 1)));
+  }
+}
