--- a/deploy/operations.sexp
+++ b/deploy/operations.sexp
@@ -4,3 +4,10 @@
 ; Each controller says in the state service what its build supports, for as long as its process runs and this
 ; many seconds longer: `pearscale upgrade finalise` waits for the word of all of them.
 (announce-support-s 60)
+
+; Drains, once the stored state is at level 1: a budget for each team that has none of its own. Further ones, and
+; windows, look like this:
+;   (budget amanzi-pay imali-gate least-up 3)
+;   (window night America/Costa_Rica mon,tue,wed,thu 22:00 04:00)
+(drains on)
+(budget * * most-down 1)
--- a/src/main/java/io/pearscale/cli/Commands.java
+++ b/src/main/java/io/pearscale/cli/Commands.java
@@ -20,7 +20,16 @@
     mixinStandardHelpOptions = true,
     versionProvider = Commands.Version.class,
     synopsisSubcommandLabel = "COMMAND",
-    subcommands = {Commands.Serve.class, Commands.Check.class, UpgradeCommand.class, WarmUp.class})
+    subcommands = {
+      Commands.Serve.class,
+      Commands.Check.class,
+      UpgradeCommand.class,
+      DrainCommand.class,
+      ShowCommands.Budget.class,
+      ShowCommands.Leases.class,
+      ShowCommands.Why.class,
+      WarmUp.class
+    })
 final class Commands {
   private Commands() {}
 
--- /dev/null
+++ b/src/main/java/io/pearscale/cli/DrainCommand.java
@@ -0,0 +1,341 @@
+package io.pearscale.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.cli.StateSession.Stored;
+import io.pearscale.drain.DrainRequest;
+import io.pearscale.drain.DrainRequest.Afterwards;
+import io.pearscale.drain.DrainRequest.Wish;
+import io.pearscale.drain.DrainStatus;
+import io.pearscale.drain.MachineSelector;
+import io.pearscale.drain.MachineSelector.MachineFacts;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.storage.Keys;
+import io.pearscale.storage.Roster;
+import io.pearscale.storage.StateClient.Change;
+import io.pearscale.storage.StateClient.Guard;
+import io.pearscale.upgrade.ClusterLevel;
+import io.pearscale.upgrade.Feature;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.ArgGroup;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Asks for drains, and shows what comes of them. */
+@Command(
+    name = "drain",
+    description = "Empties machines for maintenance, within the teams' budgets.",
+    mixinStandardHelpOptions = true,
+    synopsisSubcommandLabel = "COMMAND",
+    subcommands = {
+      DrainCommand.Start.class,
+      DrainCommand.Show.class,
+      DrainCommand.Pause.class,
+      DrainCommand.Resume.class,
+      DrainCommand.Cancel.class
+    })
+final class DrainCommand implements Callable<Integer> {
+  @Spec CommandSpec spec;
+
+  @Override
+  public Integer call() {
+    spec.commandLine().usage(spec.commandLine().getErr());
+    return Main.EXIT_SETTINGS;
+  }
+
+  /** Which machines are meant; one of these. */
+  static final class Selection {
+    @Option(names = "--machines", split = ",", paramLabel = "NAME", description = "these machines")
+    Set<String> machines;
+
+    @Option(names = "--zone", description = "all machines of a zone")
+    String zone;
+
+    @Option(names = "--type", description = "all machines of a type")
+    String type;
+
+    @Option(names = "--network", paramLabel = "CIDR", description = "all in an IP network")
+    String network;
+
+    @Option(names = "--all", description = "all machines")
+    boolean all;
+
+    MachineSelector selector() throws Malformed {
+      if (machines != null) {
+        return new MachineSelector.Names(machines);
+      }
+      if (zone != null) {
+        return new MachineSelector.Zone(zone);
+      }
+      if (type != null) {
+        return new MachineSelector.Type(type);
+      }
+      return network != null ? MachineSelector.Network.parse(network) : new MachineSelector.All();
+    }
+  }
+
+  /** Asks for a drain. */
+  @Command(
+      name = "start",
+      description = "Asks for a drain of machines that are known now.",
+      mixinStandardHelpOptions = true)
+  static final class Start extends OperatorCommand {
+    @Parameters(paramLabel = "ID", description = "a short name of the drain")
+    String id;
+
+    @ArgGroup(multiplicity = "1")
+    Selection selection;
+
+    @Option(
+        names = "--at-once",
+        defaultValue = "1",
+        description = "so many machines are emptied at a time (default: ${DEFAULT-VALUE})")
+    int atOnce;
+
+    @Option(
+        names = "--hold",
+        description = "keep the empty machines out of service; else they are given back")
+    boolean hold;
+
+    @Option(
+        names = "--hours",
+        defaultValue = "24",
+        description = "after so many hours what is not empty is in service again")
+    double hours;
+
+    @Option(names = "--window", description = "a maintenance window of the operations file")
+    Optional<String> window = Optional.empty();
+
+    @Option(names = "--dry-run", description = "say which machines are meant, and change nothing")
+    boolean dryRun;
+
+    @Override
+    int run(StateSession state) throws IOException, SettingsError {
+      Optional<String> bad = badArgument();
+      if (bad.isPresent()) {
+        return fail(bad.get(), Main.EXIT_SETTINGS);
+      }
+      try {
+        MachineSelector selector = selection.selector();
+        List<String> machines = new ArrayList<>();
+        Set<String> drained = new TreeSet<>();
+        for (Stored value : state.list(Keys.ROSTERS).values()) {
+          for (Roster.Entry entry : Roster.decode(value.value())) {
+            if (!entry.retiring() && selector.matches(facts(entry))) {
+              machines.add(entry.machine());
+              if (!entry.maintenance().isNone()) {
+                drained.add(entry.machine() + " (" + entry.maintenance().drain() + ")");
+              }
+            }
+          }
+        }
+        return start(state, selector, machines, drained);
+      } catch (Malformed e) {
+        return fail(e.getMessage(), Main.EXIT_SETTINGS);
+      }
+    }
+
+    private Optional<String> badArgument() throws SettingsError {
+      if (!DrainRequest.isId(id)) {
+        return Optional.of("ID " + id + ": expected up to 12 of a-z, 0-9 and -");
+      }
+      if (atOnce < 1 || !(hours > 0 && hours <= 24 * 365)) {
+        return Optional.of("--at-once from 1 and --hours from 0 to 8760 expected");
+      }
+      if (window.isPresent()
+          && files
+              .operations()
+              .drains()
+              .map(set -> !set.windows().containsKey(window.get()))
+              .orElse(true)) {
+        return Optional.of("--window " + window.get() + ": no such window in --operations");
+      }
+      return Optional.empty();
+    }
+
+    private static MachineFacts facts(Roster.Entry entry) {
+      return new MachineFacts(entry.machine(), entry.zone(), entry.type(), entry.address());
+    }
+
+    private int start(
+        StateSession state, MachineSelector selector, List<String> machines, Set<String> drained)
+        throws IOException, SettingsError, Malformed {
+      Optional<Stored> level = state.read(Keys.LEVEL);
+      ClusterLevel inForce =
+          level.isEmpty() ? ClusterLevel.UNVERSIONED : ClusterLevel.parse(level.get().value());
+      if (!Feature.MACHINE_MAINTENANCE.isOn(inForce)) {
+        return refuse("level 1 of the stored state is needed: pearscale upgrade finalise");
+      }
+      if (machines.isEmpty()) {
+        return refuse("no machine is known for " + selector);
+      }
+      if (selector instanceof MachineSelector.Names names && !machines.containsAll(names.names())) {
+        Set<String> unknown = new TreeSet<>(names.names());
+        machines.forEach(unknown::remove);
+        return refuse("no such machine: " + String.join(", ", unknown));
+      }
+      if (!drained.isEmpty()) {
+        return refuse("in another drain's hands: " + String.join(", ", drained));
+      }
+      Instant now = Instant.now();
+      Duration time = Duration.ofMillis((long) (hours * Duration.ofHours(1).toMillis()));
+      DrainRequest request =
+          new DrainRequest(
+              id,
+              selector.toString(),
+              atOnce,
+              hold ? Afterwards.HOLD : Afterwards.RETURN,
+              Wish.RUN,
+              now,
+              now.plus(time),
+              window);
+      if (dryRun) {
+        say(
+            "would drain %d machines, %d at a time: ".formatted(machines.size(), atOnce)
+                + String.join(" ", machines));
+        return 0;
+      }
+      List<Guard> absent = List.of(new Guard(Keys.drain(id), 0));
+      int largest = files.settings().stateLimits().valueBytes();
+      return conclude(
+          state.write(absent, request.changes(machines, largest)),
+          "asked for drain %s of %d machines".formatted(id, machines.size()));
+    }
+  }
+
+  /** Shows drains. */
+  @Command(
+      name = "show",
+      aliases = "list",
+      description = "Shows all drains, or one, and what holds them up.",
+      mixinStandardHelpOptions = true)
+  static final class Show extends OperatorCommand {
+    @Parameters(arity = "0..1", paramLabel = "ID", description = "one drain")
+    Optional<String> id = Optional.empty();
+
+    @Option(names = "--json", description = "print JSON")
+    boolean json;
+
+    @Override
+    int run(StateSession state) throws IOException {
+      ArrayNode all = new ObjectMapper().createArrayNode();
+      for (Map.Entry<String, Stored> request : state.list(Keys.DRAINS).entrySet()) {
+        String name = Keys.name(request.getKey());
+        if (id.isEmpty() || id.get().equals(name)) {
+          all.add(describe(state, name, request.getValue().value()));
+        }
+      }
+      if (id.isPresent() && all.isEmpty()) {
+        return fail("no drain is called " + id.get(), Main.EXIT_SETTINGS);
+      }
+      if (json) {
+        say(all.toString());
+      } else {
+        all.forEach(this::sayTable);
+      }
+      return 0;
+    }
+
+    private static ObjectNode describe(StateSession state, String name, JsonNode request)
+        throws IOException {
+      ObjectNode node = new ObjectMapper().createObjectNode();
+      node.put("drain", name);
+      node.put("selector", request.path("selector").asText());
+      node.put("wish", request.path("wish").asText());
+      Optional<Stored> status = state.read(Keys.drainStatus(name));
+      node.set(
+          "status",
+          status.map(Stored::value).orElseGet(() -> new ObjectMapper().createObjectNode()));
+      return node;
+    }
+
+    private void sayTable(JsonNode drain) {
+      JsonNode status = drain.path("status");
+      say(
+          "%-12s %-10s %s (wish: %s)"
+              .formatted(
+                  drain.path("drain").asText(),
+                  status.path("state").asText("not taken up yet"),
+                  drain.path("selector").asText(),
+                  drain.path("wish").asText()));
+      say(
+          "             waiting %d, cordoned %d with %d tasks, drained %d, gone %d"
+              .formatted(
+                  status.path("waiting").asInt(),
+                  status.path("cordoned").asInt(),
+                  status.path("tasksLeft").asInt(),
+                  status.path("drained").asInt(),
+                  status.path("gone").asInt()));
+      DrainStatus.reasonsOf(status).forEach(reason -> say("             " + reason));
+    }
+  }
+
+  /** Changes what is wished of a drain. */
+  private abstract static class ChangeWish extends OperatorCommand {
+    @Parameters(paramLabel = "ID", description = "the drain")
+    String id;
+
+    abstract Wish wish();
+
+    @Override
+    int run(StateSession state) throws IOException {
+      state.read(Keys.LEVEL);
+      Optional<Stored> stored = state.read(Keys.drain(id));
+      if (stored.isEmpty()) {
+        return fail("no drain is called " + id, Main.EXIT_SETTINGS);
+      }
+      Change change =
+          Change.write(Keys.drain(id), DrainRequest.withWish(stored.get().value(), wish()));
+      List<Guard> guards = List.of(new Guard(Keys.drain(id), stored.get().stamp()));
+      return conclude(state.write(guards, List.of(change)), id + ": " + wish());
+    }
+  }
+
+  /** Holds a drain. */
+  @Command(
+      name = "pause",
+      description = "Stops nothing more; what is cordoned stays so.",
+      mixinStandardHelpOptions = true)
+  static final class Pause extends ChangeWish {
+    @Override
+    Wish wish() {
+      return Wish.PAUSE;
+    }
+  }
+
+  /** Lets a drain go on. */
+  @Command(name = "resume", description = "Goes on with a drain.", mixinStandardHelpOptions = true)
+  static final class Resume extends ChangeWish {
+    @Override
+    Wish wish() {
+      return Wish.RUN;
+    }
+  }
+
+  /** Ends a drain. */
+  @Command(
+      name = "cancel",
+      aliases = "end",
+      description = "Puts the machines back into service, those that were empty on probation.",
+      mixinStandardHelpOptions = true)
+  static final class Cancel extends ChangeWish {
+    @Override
+    Wish wish() {
+      return Wish.CANCEL;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/cli/ShowCommands.java
@@ -0,0 +1,179 @@
+package io.pearscale.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.cli.StateSession.Stored;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.storage.Keys;
+import io.pearscale.storage.Marks;
+import io.pearscale.storage.Roster;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Commands that show what the state service holds, each of which answers one question. */
+final class ShowCommands {
+  /** A record of the leader that is older is called stale. */
+  private static final Duration FRESH = Duration.ofSeconds(30);
+
+  private ShowCommands() {}
+
+  /** What the leader has published, with its age. */
+  private abstract static class OfStatus extends OperatorCommand {
+    @Option(names = "--json", description = "print JSON")
+    boolean json;
+
+    abstract int show(StateSession state, JsonNode status) throws IOException;
+
+    @Override
+    int run(StateSession state) throws IOException {
+      Optional<Stored> status = state.read(Keys.STATUS);
+      if (status.isEmpty()) {
+        return fail(
+            "the leader publishes nothing: start the controllers with (drains on)",
+            Main.EXIT_FAILURE);
+      }
+      if (!json) {
+        say(age(status.get().value()));
+      }
+      return show(state, status.get().value());
+    }
+
+    private static String age(JsonNode status) {
+      Duration age =
+          Duration.between(Instant.ofEpochMilli(status.path("atMs").asLong()), Instant.now());
+      String stale = age.compareTo(FRESH) > 0 ? ", stale: nobody leads, or it can't write" : "";
+      return "as of %d s ago, term %d%s"
+          .formatted(Math.max(0, age.toSeconds()), status.path("term").asLong(), stale);
+    }
+  }
+
+  /** What budgets have left. */
+  @Command(
+      name = "budget",
+      description = "Shows what each budget of disruptions has left.",
+      mixinStandardHelpOptions = true)
+  static final class Budget extends OfStatus {
+    @Parameters(arity = "0..1", paramLabel = "TEAM", description = "budgets of one team")
+    Optional<String> team = Optional.empty();
+
+    @Override
+    int show(StateSession state, JsonNode status) {
+      if (json) {
+        say(status.path("budgets").toString());
+        return 0;
+      }
+      for (JsonNode budget : status.path("budgets")) {
+        String text = budget.path("budget").asText();
+        if (team.isEmpty() || text.startsWith("budget " + team.get() + " ")) {
+          say(
+              "%-40s %d of %d tasks down"
+                  .formatted(text, budget.path("down").asInt(), budget.path("tasks").asInt()));
+        }
+      }
+      status.path("disrupted").forEach(task -> say("disrupted: " + task.asText()));
+      return 0;
+    }
+  }
+
+  /** Who holds what. */
+  @Command(
+      name = "leases",
+      description = "Shows who leads, in which term.",
+      mixinStandardHelpOptions = true)
+  static final class Leases extends OperatorCommand {
+    @Option(names = "--json", description = "print JSON")
+    boolean json;
+
+    @Override
+    int run(StateSession state) throws IOException {
+      String leader =
+          state.read(Keys.LEADER).map(s -> s.value().path("node").asText()).orElse("nobody");
+      long term = state.read(Keys.TERM).map(s -> s.value().path("term").asLong()).orElse(0L);
+      if (json) {
+        ObjectNode node = new ObjectMapper().createObjectNode();
+        say(node.put("leader", leader).put("term", term).toString());
+      } else {
+        say("leading, renting, giving back, cleaning up: %s, term %d".formatted(leader, term));
+      }
+      return leader.equals("nobody") ? Main.EXIT_FAILURE : 0;
+    }
+  }
+
+  /** Why a job waits, or what becomes of a machine. */
+  @Command(
+      name = "why",
+      description = "Says why a job waits, or whether a machine is in service.",
+      mixinStandardHelpOptions = true)
+  static final class Why extends OfStatus {
+    @Parameters(paramLabel = "JOB|MACHINE", description = "such as wk-000412 or m-000231")
+    String name;
+
+    @Override
+    int show(StateSession state, JsonNode status) throws IOException {
+      try {
+        return name.startsWith("wk-") ? ofJob(state, status) : ofMachine(state);
+      } catch (Malformed e) {
+        return fail("a record can't be read: " + e.getMessage(), Main.EXIT_FAILURE);
+      }
+    }
+
+    private int ofJob(StateSession state, JsonNode status) throws IOException, Malformed {
+      Optional<Stored> past = state.read(Keys.past(name));
+      if (past.isPresent()) {
+        say(name + " is over: " + past.get().value().path("stage").asText());
+        return 0;
+      }
+      Optional<Stored> live = state.read(Keys.live(name));
+      if (live.isEmpty()) {
+        return fail("no job is called " + name, Main.EXIT_SETTINGS);
+      }
+      int placed = 0;
+      for (Stored marks : state.list(Keys.ALL_MARKS).values()) {
+        for (Marks.Part part : Marks.decode(marks.value())) {
+          for (int host : part.job().equals(name) ? part.hosts() : new int[0]) {
+            placed += host > 0 ? 1 : 0;
+          }
+        }
+      }
+      int tasks = live.get().value().path("spec").path("pieces").asInt();
+      say("%s: %d tasks, %d of them have a machine".formatted(name, tasks, placed));
+      JsonNode reason = status.path("waiting").path(name);
+      say(
+          reason.isTextual()
+              ? "the others wait: " + reason.asText()
+              : "the leader names no reason to wait");
+      return 0;
+    }
+
+    private int ofMachine(StateSession state) throws IOException, Malformed {
+      for (Map.Entry<String, Stored> value : state.list(Keys.ROSTERS).entrySet()) {
+        for (Roster.Entry entry : Roster.decode(value.getValue().value())) {
+          if (entry.machine().equals(name)) {
+            say(describe(entry));
+            return 0;
+          }
+        }
+      }
+      return fail("no record names " + name + ": it is not used, or gone", Main.EXIT_SETTINGS);
+    }
+
+    private String describe(Roster.Entry entry) {
+      String use =
+          switch (entry.maintenance().stage()) {
+            case NONE -> "in service";
+            case CORDONED -> "cordoned for drain " + entry.maintenance().drain();
+            case DRAINED -> "out of service for drain " + entry.maintenance().drain();
+            case PROBATION -> "back in service on probation";
+          };
+      return "%s (%s, zone %s): %s"
+          .formatted(name, entry.type(), entry.zone(), entry.retiring() ? "is given back" : use);
+    }
+  }
+}
--- a/src/main/java/io/pearscale/cli/UpgradeCommand.java
+++ b/src/main/java/io/pearscale/cli/UpgradeCommand.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Callable;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -34,9 +33,6 @@
   /** This build must stay out of what is stored. */
   static final int EXIT_MUST_STAY_OUT = 3;
 
-  /** The step must not be taken; nothing was changed. */
-  static final int EXIT_REFUSED = 4;
-
   @Spec CommandSpec spec;
 
   @Override
@@ -46,36 +42,13 @@
   }
 
   /** A command on a cluster that is read first. */
-  private abstract static class OnCluster implements Callable<Integer> {
-    @CommandLine.Mixin Commands.Files files;
-
-    @Spec CommandSpec spec;
-
+  private abstract static class OnCluster extends OperatorCommand {
     abstract int run(StateSession state, UpgradeView view) throws IOException;
 
     @Override
-    public Integer call() {
-      try {
-        SupportedLevels build =
-            SupportedLevels.OF_THIS_BUILD.upTo(files.operations().highestLevel());
-        try (StateSession state = new StateSession(files.settings())) {
-          return run(state, UpgradeView.read(state, files.settings(), build));
-        }
-      } catch (SettingsError e) {
-        return fail(e.getMessage(), Main.EXIT_SETTINGS);
-      } catch (IOException e) {
-        return fail(e.getMessage() + "; nothing is known, ask again", Main.EXIT_FAILURE);
-      }
-    }
-
-    int fail(String reason, int code) {
-      spec.commandLine().getErr().println("pearscale: " + reason);
-      return code;
-    }
-
-    void say(String text) {
-      spec.commandLine().getOut().println(text);
-      spec.commandLine().getOut().flush();
+    int run(StateSession state) throws IOException, SettingsError {
+      SupportedLevels build = SupportedLevels.OF_THIS_BUILD.upTo(files.operations().highestLevel());
+      return run(state, UpgradeView.read(state, files.settings(), build));
     }
 
     /** Says what would come of a step, or takes it. */
@@ -86,27 +59,15 @@
         return 0;
       }
       if (outcome instanceof UpgradePlan.Refusal refusal) {
-        return fail("refused: " + String.join("; ", refusal.reasons()), EXIT_REFUSED);
+        return refuse(String.join("; ", refusal.reasons()));
       }
       ObjectNode record = ((UpgradePlan.Change) outcome).next().toNode(view.storedLevel());
       if (!absent.isEmpty()) {
         ArrayNode vouched = record.putArray("absent");
         absent.forEach(vouched::add);
       }
-      return switch (state.write(view.guards(), List.of(Change.write(Keys.LEVEL, record)))) {
-        case DONE -> {
-          say("done: " + record);
-          yield 0;
-        }
-        case CHANGED_MEANWHILE ->
-            fail(
-                "the level or a controller changed meanwhile; nothing was written, ask for the status",
-                Main.EXIT_FAILURE);
-        case UNKNOWN ->
-            fail(
-                "no answer: the step may have been taken or may yet be, ask for the status",
-                Main.EXIT_FAILURE);
-      };
+      return conclude(
+          state.write(view.guards(), List.of(Change.write(Keys.LEVEL, record))), "done: " + record);
     }
   }
 
@@ -145,7 +106,7 @@
       Outcome outcome = view.plan().get().finalise(view.build(), Set.of());
       if (outcome instanceof UpgradePlan.Refusal refusal) {
         refusal.reasons().forEach(reason -> say("holds it up: " + reason));
-        return EXIT_REFUSED;
+        return OperatorCommand.EXIT_REFUSED;
       }
       say(
           outcome instanceof UpgradePlan.Change change
--- /dev/null
+++ b/src/main/java/io/pearscale/drain/DrainPlanner.java
@@ -0,0 +1,357 @@
+package io.pearscale.drain;
+
+import io.pearscale.protocol.TaskId;
+import io.pearscale.storage.Maintenance;
+import io.pearscale.storage.Maintenance.Stage;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides what drains do next: which machines are cordoned, which tasks are stopped, which machines
+ * are out of service or back in it. Pure but for its turn, which lets the drains share the budgets:
+ * each round another one is asked first, and they are granted one task after the other in turn.
+ */
+public final class DrainPlanner {
+  /** What ends by itself within that time is waited for. */
+  static final Duration WORTH_WAITING = Duration.ofSeconds(60);
+
+  /**
+   * A task that is, or may be, on a machine.
+   *
+   * @param up whether it is seen running
+   * @param ending whether it is about to be stopped, for whatever reason
+   * @param remaining what it still takes, if that is known: services have no end
+   * @param lost the work that a stop would lose
+   */
+  public record TaskView(
+      TaskId task,
+      String team,
+      String jobClass,
+      boolean up,
+      boolean ending,
+      Optional<Duration> remaining,
+      Duration lost) {}
+
+  /**
+   * A machine as it is now.
+   *
+   * @param recorded whether its maintenance is durable
+   * @param reachable whether it is up, and heard lately
+   */
+  public record MachineView(
+      String name,
+      Maintenance maintenance,
+      boolean recorded,
+      boolean reachable,
+      List<TaskView> tasks) {}
+
+  /** A drain, and the names of its machines. */
+  public record Drain(DrainRequest request, List<String> machines) {
+    /** Whether it goes on, now or later. */
+    public boolean isActive(Instant now) {
+      return request.wish() != DrainRequest.Wish.CANCEL && now.isBefore(request.deadline());
+    }
+  }
+
+  /** Looks for room elsewhere. */
+  public interface Room {
+    /** Sets room aside for the task; says why there is none. */
+    Optional<String> reserve(TaskView task);
+  }
+
+  /**
+   * What is to be done.
+   *
+   * @param changes the maintenance that machines get
+   * @param stops tasks to be stopped, for which the ledger has granted it
+   * @param giveBack machines that are empty and not to be held
+   * @param lackingRoom tasks for which there is no room elsewhere
+   */
+  public record Plan(
+      Map<String, Maintenance> changes,
+      List<TaskView> stops,
+      List<String> giveBack,
+      List<TaskView> lackingRoom,
+      Map<String, DrainStatus> statuses) {}
+
+  private final Map<String, MaintenanceWindow> windows;
+  private int turn;
+
+  /** A planner for drains in those windows. */
+  public DrainPlanner(Map<String, MaintenanceWindow> windows) {
+    this.windows = Map.copyOf(windows);
+  }
+
+  /**
+   * Decides.
+   *
+   * @param machines all machines, by name
+   * @param now the time of day: it says when windows are open and deadlines are over
+   */
+  public Plan plan(
+      List<Drain> drains,
+      Map<String, MachineView> machines,
+      DisruptionLedger ledger,
+      Room room,
+      Instant now) {
+    Plan plan =
+        new Plan(
+            new LinkedHashMap<>(),
+            new ArrayList<>(),
+            new ArrayList<>(),
+            new ArrayList<>(),
+            new LinkedHashMap<>());
+    List<Round> rounds = new ArrayList<>();
+    for (Drain drain : inTurn(drains)) {
+      Round round = new Round(drain, machines, plan, ledger, now);
+      round.decideOnMachines();
+      rounds.add(round);
+    }
+    grantInTurn(rounds, ledger, room);
+    rounds.forEach(round -> plan.statuses.put(round.request.id(), round.status()));
+    return plan;
+  }
+
+  private List<Drain> inTurn(List<Drain> drains) {
+    List<Drain> ordered = new ArrayList<>(drains);
+    ordered.sort(
+        Comparator.comparing((Drain d) -> d.request.requested())
+            .thenComparing(d -> d.request.id()));
+    Collections.rotate(ordered, ordered.isEmpty() ? 0 : turn++ % ordered.size());
+    return ordered;
+  }
+
+  /** One task of each drain after the other, until none is left that the budgets allow. */
+  private static void grantInTurn(List<Round> rounds, DisruptionLedger ledger, Room room) {
+    boolean left = true;
+    while (left) {
+      left = false;
+      for (Round round : rounds) {
+        left |= round.grantNext(ledger, room);
+      }
+    }
+  }
+
+  /** What is decided of one drain. */
+  private final class Round {
+    private final DrainRequest request;
+    private final Drain drain;
+    private final Map<String, MachineView> machines;
+    private final Plan plan;
+    private final DisruptionLedger ledger;
+    private final Instant now;
+    private final Deque<TaskView> candidates = new ArrayDeque<>();
+    private final Set<String> reasons = new LinkedHashSet<>();
+    private int waiting;
+    private int cordoned;
+    private int drained;
+    private int gone;
+    private int tasksLeft;
+    private boolean held;
+
+    Round(
+        Drain drain,
+        Map<String, MachineView> machines,
+        Plan plan,
+        DisruptionLedger ledger,
+        Instant now) {
+      this.drain = drain;
+      this.request = drain.request;
+      this.machines = machines;
+      this.plan = plan;
+      this.ledger = ledger;
+      this.now = now;
+    }
+
+    private boolean isCancelled() {
+      return request.wish() == DrainRequest.Wish.CANCEL;
+    }
+
+    private boolean isLate() {
+      return !now.isBefore(request.deadline());
+    }
+
+    void decideOnMachines() {
+      held = holdsStill();
+      List<MachineView> inService = new ArrayList<>();
+      for (String name : drain.machines) {
+        MachineView machine = machines.get(name);
+        if (machine == null) {
+          gone++;
+        } else if (!machine.maintenance.drain().equals(request.id())) {
+          waiting++;
+          inService.add(machine);
+        } else {
+          decideOn(machine);
+        }
+      }
+      if (!held && !isCancelled() && !isLate()) {
+        cordonNext(inService);
+      }
+    }
+
+    /** Whether nothing may be begun now. */
+    private boolean holdsStill() {
+      if (request.wish() == DrainRequest.Wish.PAUSE) {
+        reasons.add("an operator has paused it");
+        return true;
+      }
+      if (request.window().isEmpty()) {
+        return false;
+      }
+      MaintenanceWindow window = windows.get(request.window().get());
+      if (window == null) {
+        reasons.add("no window is called " + request.window().get());
+        return true;
+      }
+      if (!window.isOpen(now)) {
+        reasons.add(
+            "window %s opens at %s"
+                .formatted(
+                    window.name(),
+                    window.nextOpening(now).map(Instant::toString).orElse("no time")));
+        return true;
+      }
+      return false;
+    }
+
+    private void decideOn(MachineView machine) {
+      switch (machine.maintenance.stage()) {
+        case CORDONED -> decideOnCordoned(machine);
+        case DRAINED -> {
+          if (isCancelled()) {
+            plan.changes.put(machine.name, new Maintenance(Stage.PROBATION, request.id()));
+            waiting++;
+          } else {
+            drained++;
+          }
+        }
+        default -> waiting++;
+      }
+    }
+
+    private void decideOnCordoned(MachineView machine) {
+      if (isCancelled() || isLate()) {
+        plan.changes.put(machine.name, Maintenance.NONE);
+        waiting++;
+      } else if (machine.recorded && machine.tasks.isEmpty()) {
+        decideOnEmpty(machine);
+      } else {
+        cordoned++;
+        tasksLeft += machine.tasks.size();
+        if (machine.recorded && !held) {
+          lookAtTasks(machine);
+        }
+      }
+    }
+
+    private void decideOnEmpty(MachineView machine) {
+      if (request.afterwards() == DrainRequest.Afterwards.RETURN) {
+        plan.giveBack.add(machine.name);
+        gone++;
+      } else {
+        plan.changes.put(machine.name, new Maintenance(Stage.DRAINED, request.id()));
+        drained++;
+      }
+    }
+
+    private void lookAtTasks(MachineView machine) {
+      if (!machine.reachable) {
+        reasons.add("machine " + machine.name + " is silent");
+        return;
+      }
+      for (TaskView task : machine.tasks) {
+        if (task.ending || ledger.isOpen(task.task)) {
+          continue;
+        }
+        if (!task.up) {
+          reasons.add(task.task + " is starting");
+        } else if (task.remaining.map(r -> r.compareTo(WORTH_WAITING) <= 0).orElse(false)) {
+          reasons.add(task.task + " ends by itself soon");
+        } else {
+          candidates.add(task);
+        }
+      }
+    }
+
+    /** The emptiest machines first, as many as may be cordoned at a time. */
+    private void cordonNext(List<MachineView> inService) {
+      inService.sort(
+          Comparator.comparingInt((MachineView m) -> m.tasks.size())
+              .thenComparing(MachineView::name));
+      for (MachineView machine : inService) {
+        if (cordoned >= request.atOnce()) {
+          return;
+        }
+        if (plan.changes.containsKey(machine.name) || !machine.maintenance.isNone()) {
+          reasons.add("machine " + machine.name + " is in another drain's hands");
+        } else if (!machine.reachable) {
+          reasons.add("machine " + machine.name + " is silent or not up");
+        } else {
+          plan.changes.put(machine.name, new Maintenance(Stage.CORDONED, request.id()));
+          cordoned++;
+          waiting--;
+          tasksLeft += machine.tasks.size();
+        }
+      }
+    }
+
+    /** Asks for the next of its tasks; false when it has none left to ask for. */
+    boolean grantNext(DisruptionLedger budgets, Room room) {
+      TaskView task = candidates.poll();
+      if (task == null) {
+        return false;
+      }
+      Optional<String> objection = room.reserve(task);
+      if (objection.isPresent()) {
+        plan.lackingRoom.add(task);
+      } else {
+        objection =
+            budgets.spend(
+                new Disruption(
+                    task.task, task.team, task.jobClass, /* voluntary= */ true, task.lost));
+      }
+      if (objection.isPresent()) {
+        reasons.add(task.task + ": " + objection.get());
+      } else {
+        plan.stops.add(task);
+      }
+      return true;
+    }
+
+    DrainStatus status() {
+      return new DrainStatus(
+          state(), waiting, cordoned, drained, gone, tasksLeft, List.copyOf(reasons));
+    }
+
+    private DrainStatus.State state() {
+      if (isCancelled()) {
+        return DrainStatus.State.CANCELLED;
+      }
+      if (waiting + cordoned == 0) {
+        return DrainStatus.State.DRAINED;
+      }
+      if (isLate()) {
+        reasons.add("its time was over");
+        return DrainStatus.State.FAILED;
+      }
+      if (held) {
+        return DrainStatus.State.PAUSED;
+      }
+      return cordoned + drained + gone == 0
+          ? DrainStatus.State.REQUESTED
+          : DrainStatus.State.DRAINING;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/drain/DrainRequest.java
@@ -0,0 +1,140 @@
+package io.pearscale.drain;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.Fields;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.storage.Keys;
+import io.pearscale.storage.StateClient.Change;
+import io.pearscale.transport.MessagePack;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/**
+ * What operators want of a drain. Operators alone write it; what comes of it is the leader's
+ * record.
+ *
+ * @param selector how the machines were chosen, for people: the names are stored beside
+ * @param atOnce so many machines are cordoned at a time
+ * @param afterwards what becomes of a machine that is empty
+ * @param window the maintenance window in which it may disrupt
+ */
+public record DrainRequest(
+    String id,
+    String selector,
+    int atOnce,
+    Afterwards afterwards,
+    Wish wish,
+    Instant requested,
+    Instant deadline,
+    Optional<String> window) {
+
+  /** What becomes of a machine that is empty. */
+  public enum Afterwards {
+    /** It is given back to the cloud; another one is rented where it is needed. */
+    RETURN,
+    /** It stays out of service until the drain is ended. */
+    HOLD
+  }
+
+  /** What is to be done now. */
+  public enum Wish {
+    /** Go on. */
+    RUN,
+    /** Disrupt nothing and cordon nothing; what is cordoned stays so. */
+    PAUSE,
+    /** Put back into service what is not drained yet, and what is held. */
+    CANCEL
+  }
+
+  /** So much of a value is filled with names, in percent. */
+  private static final int FILLED = 80;
+
+  /** What a name takes in a list beside its letters. */
+  private static final int NAME_PUNCTUATION = 3;
+
+  /** Ids are part of keys and of each machine's record, so they are short. */
+  private static final Pattern ID = Pattern.compile("[a-z0-9][a-z0-9-]{0,11}");
+
+  /** Whether the text may be an id. */
+  public static boolean isId(String text) {
+    return ID.matcher(text).matches();
+  }
+
+  /** Reads the record. */
+  public static DrainRequest parse(String id, JsonNode value) throws Malformed {
+    JsonNode map = Fields.map(value);
+    return new DrainRequest(
+        id,
+        Fields.text(map, "selector"),
+        (int) Fields.integer(map, "atOnce", 1, Integer.MAX_VALUE),
+        constant(Afterwards.class, Fields.text(map, "afterwards")),
+        constant(Wish.class, Fields.text(map, "wish")),
+        Instant.ofEpochMilli(Fields.integer(map, "requestedMs", 0, Long.MAX_VALUE)),
+        Instant.ofEpochMilli(Fields.integer(map, "deadlineMs", 0, Long.MAX_VALUE)),
+        Fields.optText(map, "window"));
+  }
+
+  private static <E extends Enum<E>> E constant(Class<E> type, String text) throws Malformed {
+    for (E each : type.getEnumConstants()) {
+      if (word(each).equals(text)) {
+        return each;
+      }
+    }
+    throw new Malformed("unknown word " + text);
+  }
+
+  private static String word(Enum<?> constant) {
+    return constant.name().toLowerCase(Locale.ROOT);
+  }
+
+  /** The record. */
+  public ObjectNode toNode() {
+    ObjectNode node =
+        MessagePack.map()
+            .put("selector", selector)
+            .put("atOnce", atOnce)
+            .put("afterwards", word(afterwards))
+            .put("wish", word(wish))
+            .put("requestedMs", requested.toEpochMilli())
+            .put("deadlineMs", deadline.toEpochMilli());
+    window.ifPresent(name -> node.put("window", name));
+    return node;
+  }
+
+  /**
+   * What is written when a drain is asked for: the record, and the names of the machines in as many
+   * values as they need.
+   */
+  public List<Change> changes(List<String> machines, int largestValue) {
+    List<Change> changes = new ArrayList<>();
+    changes.add(Change.write(Keys.drain(id), toNode()));
+    int room = largestValue * FILLED / 100;
+    ObjectNode value = MessagePack.map();
+    ArrayNode list = value.putArray("m");
+    int size = 0;
+    for (String name : machines) {
+      if (size + name.length() + NAME_PUNCTUATION > room) {
+        changes.add(Change.write(Keys.drainMachines(id) + (changes.size() - 1), value));
+        value = MessagePack.map();
+        list = value.putArray("m");
+        size = 0;
+      }
+      list.add(name);
+      size += name.length() + NAME_PUNCTUATION;
+    }
+    changes.add(Change.write(Keys.drainMachines(id) + (changes.size() - 1), value));
+    return changes;
+  }
+
+  /** The stored record with another wish; whatever else is stored stays. */
+  public static ObjectNode withWish(JsonNode stored, Wish wish) {
+    ObjectNode node = stored.deepCopy();
+    return node.put("wish", word(wish));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/drain/IpNetwork.java
@@ -0,0 +1,45 @@
+package io.pearscale.drain;
+
+import inet.ipaddr.AddressStringException;
+import inet.ipaddr.HostName;
+import inet.ipaddr.IPAddress;
+import inet.ipaddr.IPAddressString;
+import io.pearscale.protocol.Malformed;
+import java.util.Optional;
+
+/** An IP network, such as {@code 10.1.4.0/22}, as a set of machines that fail or move together. */
+public final class IpNetwork {
+  private final IPAddress block;
+
+  private IpNetwork(IPAddress block) {
+    this.block = block;
+  }
+
+  /** Reads a network in the form of CIDR; one with host bits set is not guessed at. */
+  public static IpNetwork parse(String text) throws Malformed {
+    try {
+      IPAddress address = new IPAddressString(text).toAddress();
+      if (!address.isPrefixed() || !address.equals(address.toPrefixBlock())) {
+        throw new Malformed("network " + text + ": expected a form like 10.1.4.0/22");
+      }
+      return new IpNetwork(address);
+    } catch (AddressStringException e) {
+      throw new Malformed("network " + text + ": expected a form like 10.1.4.0/22");
+    }
+  }
+
+  /**
+   * Whether the host of an address like {@code 10.1.4.7:9000} lies in the network. Names are not
+   * looked up: a machine without an address lies in none.
+   */
+  public boolean contains(String hostAndPort) {
+    return Optional.ofNullable(new HostName(hostAndPort).asAddress())
+        .map(block::contains)
+        .orElse(false);
+  }
+
+  @Override
+  public String toString() {
+    return block.toCanonicalString();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/drain/MaintenanceWindow.java
@@ -0,0 +1,65 @@
+package io.pearscale.drain;
+
+import java.time.DayOfWeek;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.LocalDate;
+import java.time.LocalTime;
+import java.time.ZoneId;
+import java.time.ZonedDateTime;
+import java.util.Optional;
+import java.util.Set;
+import org.threeten.extra.Interval;
+
+/**
+ * When drains may disrupt: from a time of day to another in a named time zone, on the days on which
+ * it begins. A window that ends before it begins on the clock ends on the next day.
+ *
+ * <p>Where clocks change, a window begins with the first and ends with the last moment that shows
+ * its times; of a time that the clocks leave out the first moment after it is taken, so a window
+ * that lies in the missing hour as a whole is not open on that day.
+ */
+public record MaintenanceWindow(
+    String name, ZoneId zone, Set<DayOfWeek> days, LocalTime from, LocalTime to) {
+  /** A window is looked for on so many days: each weekday comes twice, should one be left out. */
+  private static final int DAYS_AHEAD = 14;
+
+  /** Whether drains may disrupt at that time. */
+  public boolean isOpen(Instant now) {
+    LocalDate today = now.atZone(zone).toLocalDate();
+    return occurrence(today.minusDays(1)).map(i -> i.contains(now)).orElse(false)
+        || occurrence(today).map(i -> i.contains(now)).orElse(false);
+  }
+
+  /** When it opens next, if it does within two weeks; now if it is open. */
+  public Optional<Instant> nextOpening(Instant now) {
+    if (isOpen(now)) {
+      return Optional.of(now);
+    }
+    LocalDate today = now.atZone(zone).toLocalDate();
+    for (int ahead = 0; ahead <= DAYS_AHEAD; ahead++) {
+      Optional<Interval> next = occurrence(today.plusDays(ahead)).filter(i -> i.isAfter(now));
+      if (next.isPresent()) {
+        return next.map(Interval::getStart);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** The window that begins on that day; empty if none does. */
+  Optional<Interval> occurrence(LocalDate day) {
+    if (!days.contains(day.getDayOfWeek())) {
+      return Optional.empty();
+    }
+    LocalDate lastDay = to.isAfter(from) ? day : day.plusDays(1);
+    Instant start = ZonedDateTime.of(day, from, zone).withEarlierOffsetAtOverlap().toInstant();
+    Instant end = ZonedDateTime.of(lastDay, to, zone).withLaterOffsetAtOverlap().toInstant();
+    return end.isAfter(start) ? Optional.of(Interval.of(start, end)) : Optional.empty();
+  }
+
+  /** How long it is open on a day without a change of clocks. */
+  public Duration length() {
+    Duration length = Duration.between(from, to);
+    return to.isAfter(from) ? length : length.plusDays(1);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/DrainRequests.java
@@ -0,0 +1,71 @@
+package io.pearscale.scheduler;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pearscale.drain.DrainPlanner.Drain;
+import io.pearscale.drain.DrainRequest;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.storage.Keys;
+import io.pearscale.storage.ReplicaActor.KeyChange;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The drains that operators want, as they are stored: a record for each, and beside it values with
+ * the names of its machines.
+ */
+final class DrainRequests {
+  private static final Logger LOG = LoggerFactory.getLogger(DrainRequests.class);
+
+  private final Map<String, JsonNode> requests = new TreeMap<>();
+  private final Map<String, JsonNode> machines = new TreeMap<>();
+
+  /** All keys are about to be read anew. */
+  void clear() {
+    requests.clear();
+    machines.clear();
+  }
+
+  /** A stored value has changed. */
+  void changed(KeyChange change) {
+    Map<String, JsonNode> values = Keys.isDrain(change.key()) ? requests : machines;
+    change
+        .entry()
+        .ifPresentOrElse(
+            e -> values.put(change.key(), e.value()), () -> values.remove(change.key()));
+  }
+
+  /** Whether the drain is stored, even if it can't be read. */
+  boolean isKnown(String id) {
+    return requests.containsKey(Keys.drain(id));
+  }
+
+  /** All drains that can be read; one that can't be read does nothing and releases nothing. */
+  List<Drain> all() {
+    List<Drain> drains = new ArrayList<>();
+    for (Map.Entry<String, JsonNode> request : requests.entrySet()) {
+      String id = Keys.name(request.getKey());
+      try {
+        drains.add(new Drain(DrainRequest.parse(id, request.getValue()), namesOf(id)));
+      } catch (Malformed e) {
+        LOG.warn("event=drain_unreadable drain={} reason={}", id, e.getMessage());
+      }
+    }
+    return drains;
+  }
+
+  private List<String> namesOf(String id) {
+    List<String> names = new ArrayList<>();
+    String prefix = Keys.drainMachines(id);
+    machines.forEach(
+        (key, value) -> {
+          if (key.startsWith(prefix)) {
+            value.path("m").forEach(name -> names.add(name.asText()));
+          }
+        });
+    return names;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/DrainRoom.java
@@ -0,0 +1,71 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.drain.DrainPlanner;
+import io.pearscale.drain.DrainPlanner.TaskView;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Looks for room for tasks of machines that are drained, and sets it aside for one round. */
+final class DrainRoom implements DrainPlanner.Room {
+  private final JobTable jobs;
+  private final List<Machine> usable = new ArrayList<>();
+  private final Map<Machine, Machine.Room> rooms = new HashMap<>();
+
+  DrainRoom(MachineInventory inventory, JobTable jobs, Instant now, WorkerTimes times) {
+    this.jobs = jobs;
+    for (Machine machine : inventory.all()) {
+      boolean heard = !now.isAfter(machine.heard.plus(times.silent()));
+      if (machine.maintenance.isNone()
+          && machine.life == Machine.Life.UP
+          && machine.settled
+          && !machine.lost
+          && !machine.faulty
+          && heard
+          && machine.takenAt.isEmpty()) {
+        usable.add(machine);
+      }
+    }
+    // What goes to a machine that is drained later has to move once more.
+    usable.sort(Comparator.comparing(machine -> machine.drainsLater));
+  }
+
+  @Override
+  public Optional<String> reserve(TaskView task) {
+    Job job = jobs.get(task.task().job());
+    Placement placement = job == null ? null : job.placed.get(task.task().index());
+    if (placement == null) {
+      return Optional.of("it is not where it was");
+    }
+    for (Machine machine : usable) {
+      if (mayGo(placement, machine) && roomOf(machine).fits(job)) {
+        roomOf(machine).take(job);
+        return Optional.empty();
+      }
+    }
+    return Optional.of(
+        "no other machine in service has room for it"
+            + (job.spec.oneZone() ? " in zone " + placement.machine.zone : ""));
+  }
+
+  private Machine.Room roomOf(Machine machine) {
+    return rooms.computeIfAbsent(machine, Machine::room);
+  }
+
+  private static boolean mayGo(Placement placement, Machine machine) {
+    Job job = placement.job;
+    boolean alone = job.placed.size() == 1;
+    boolean sameZone = machine.zone.equals(placement.machine.zone);
+    boolean zoneFree =
+        sameZone
+            || ((!job.spec.oneZone() || alone)
+                && (!job.spec.spread() || job.inZone(machine.zone) < job.spec.perZone()));
+    return machine != placement.machine
+        && zoneFree
+        && job.spec.allows(machine.type, machine.zone, machine.spot);
+  }
+}
--- a/src/main/java/io/pearscale/scheduler/Fleet.java
+++ b/src/main/java/io/pearscale/scheduler/Fleet.java
@@ -36,6 +36,7 @@
    * @param waiting jobs with tasks that wait, in the order in which they are decided
    * @param uses what each team has in use
    * @param silentZones zones of which nothing is heard: what is rented there is of no use by now
+   * @param replacements room that drains lack
    * @param mayGiveBack whether it is known where all tasks are, and can be written what is decided
    */
   record View(
@@ -46,6 +47,7 @@
       Map<String, Placer.Use> uses,
       Collection<MachineType> types,
       Set<String> silentZones,
+      List<Renter.Demand> replacements,
       boolean mayGiveBack) {}
 
   /** What is to be done: rented, given back, and moved off machines that are to be empty. */
@@ -89,6 +91,7 @@
     Headroom headroom = headroom(v, usable);
     List<Renter.Demand> demands = demands(v);
     demands.addAll(headroom.demands());
+    demands.addAll(v.replacements);
     Map<Kind, Integer> hires =
         renter.plan(demands, coming, v.types, v.silentZones, v.machines.size(), now);
     // Until the cloud has answered, a kind is not asked for again.
--- a/src/main/java/io/pearscale/scheduler/LeaderComponents.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderComponents.java
@@ -6,7 +6,9 @@
 import io.pearscale.scheduler.SchedulerActor.Listener;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Makes the parts of a leader and joins them; they know each other by their constructors alone. */
@@ -21,6 +23,7 @@
   final MachineHealth health;
   final LeaderRecovery recovery;
   final PlacementPass passes;
+  final Optional<DrainCoordinator> drains;
   final MachineSupply supply;
   final RecordWriter writer;
   final TaskCounts counts;
@@ -61,14 +64,42 @@
     PlacementPass.Policy policy =
         new PlacementPass.Policy(env.tuning(), env.random(), teams, classes, order);
     passes = new PlacementPass(shared, times, policy, executor, health, dispatcher, statistics);
+    drains = drains(env, shared, times, retirement);
     Fleet fleet = new Fleet(env.tuning(), teams, classes);
     supply =
         new MachineSupply(
-            shared, settings, cloud, fleet, order, health, retirement, dispatcher, recovery);
-    writer = new RecordWriter(shared, env, executor, dispatcher, retirement);
+            shared,
+            settings,
+            cloud,
+            fleet,
+            order,
+            health,
+            retirement,
+            dispatcher,
+            recovery,
+            drains);
+    List<TransactionSource> sources = drains.map(DrainCoordinator::sources).orElse(List.of());
+    writer = new RecordWriter(shared, env, sources, executor, dispatcher, retirement);
     counts = new TaskCounts(jobs, listener::counts);
   }
 
+  private Optional<DrainCoordinator> drains(
+      Environment env, LeaderState shared, WorkerTimes times, MachineRetirement retirement) {
+    return env.operations()
+        .drains()
+        .map(
+            set ->
+                new DrainCoordinator(
+                    shared,
+                    set,
+                    times,
+                    env.level(),
+                    env.settings().stateLimits().valueBytes(),
+                    env.timeOfDay(),
+                    dispatcher,
+                    retirement));
+  }
+
   private void requestPass() {
     passes.request();
   }
--- a/src/main/java/io/pearscale/scheduler/LeaderTransaction.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderTransaction.java
@@ -154,6 +154,12 @@
     size += END_SIZE;
   }
 
+  /** Adds a value that the transaction does not keep book of. */
+  void addValue(String key, JsonNode value, int bytes) {
+    write(key, value);
+    size += bytes;
+  }
+
   /** Adds the record of the level, once all records have the form that is written. */
   void addLevel(JsonNode record) {
     changes.add(Change.write(Keys.LEVEL, record));
--- a/src/main/java/io/pearscale/scheduler/Machine.java
+++ b/src/main/java/io/pearscale/scheduler/Machine.java
@@ -81,6 +81,9 @@
   /** What the roster has as the machine's address. */
   String recordedAddress = "";
 
+  /** Whether a drain will come to it: what is placed there would soon be moved again. */
+  boolean drainsLater;
+
   boolean deleteSent;
 
   /** Whether it is in maintenance, and what of that is durably recorded. */
--- a/src/main/java/io/pearscale/scheduler/MachineHealth.java
+++ b/src/main/java/io/pearscale/scheduler/MachineHealth.java
@@ -2,6 +2,7 @@
 
 import io.pearscale.scheduler.Machine.Life;
 import io.pearscale.scheduler.MachineRetirement.Reason;
+import io.pearscale.storage.Maintenance;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -68,6 +69,7 @@
         && !m.lost
         && !m.faulty
         && m.takenAt.isEmpty()
+        && m.maintenance.takesTasks()
         && m.everReported
         && m.unheard == 0
         && !mute(m, now)
@@ -132,7 +134,7 @@
     m.foreign.clear();
     int dropped = m.placements.size();
     List.copyOf(m.placements.values()).forEach(inventory::remove);
-    if (m.life == Life.UP) {
+    if (m.life == Life.UP && m.maintenance.isNone()) {
       // A successor need not wait for it again. Before its next start it is recorded anew.
       records.removeMachine(m);
     }
@@ -180,6 +182,10 @@
   }
 
   private Optional<Reason> reasonToRetire(Machine m, boolean deaf, Instant now) {
+    if (m.maintenance.stage() == Maintenance.Stage.DRAINED && m.placements.isEmpty()) {
+      // Whoever maintains it may switch it off; what the cloud says of it counts all the same.
+      return Optional.empty();
+    }
     if (neverCame(m, now)) {
       return Optional.of(Reason.NEVER_CAME);
     }
--- a/src/main/java/io/pearscale/scheduler/MachineInventory.java
+++ b/src/main/java/io/pearscale/scheduler/MachineInventory.java
@@ -35,6 +35,7 @@
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final Collection<Machine> all = Collections.unmodifiableCollection(machines.values());
   private final RemovedMachines removed = new RemovedMachines();
+  private Consumer<Placement> removedListener = placement -> {};
   private final Set<Machine> withCommands = new LinkedHashSet<>();
 
   /** Makes an empty inventory. */
@@ -138,9 +139,15 @@
     }
   }
 
+  /** The listener is told of each task that is proven not to be on its machine any more. */
+  void onRemoved(Consumer<Placement> listener) {
+    removedListener = listener;
+  }
+
   /** It is proven that the task is not on the machine. */
   void remove(Placement placement) {
     Job job = placement.job;
+    removedListener.accept(placement);
     placement.machine.remove(placement);
     job.remove(placement);
     if (placement.ranFor(clock.instant()).compareTo(Job.A_START) >= 0) {
--- a/src/main/java/io/pearscale/scheduler/MachineRetirement.java
+++ b/src/main/java/io/pearscale/scheduler/MachineRetirement.java
@@ -30,6 +30,8 @@
     SILENT,
     /** It is not needed. */
     SPARE,
+    /** It was drained, and is not to be held. */
+    DRAINED,
     /** The cloud says that it stopped. */
     FAILED,
     /** The cloud does not list it any more. */
--- a/src/main/java/io/pearscale/scheduler/MachineSupply.java
+++ b/src/main/java/io/pearscale/scheduler/MachineSupply.java
@@ -46,8 +46,14 @@
   private final MachineRetirement retirement;
   private final CommandDispatcher dispatcher;
   private final LeaderRecovery recovery;
+  private final Optional<DrainCoordinator> drains;
   private Instant nextRent = Instant.MIN;
 
+  /**
+   * Makes a supply.
+   *
+   * @param drains if they are switched on, is asked before a replica is moved, and stops it
+   */
   MachineSupply(
       LeaderState state,
       Settings settings,
@@ -57,7 +63,8 @@
       MachineHealth health,
       MachineRetirement retirement,
       CommandDispatcher dispatcher,
-      LeaderRecovery recovery) {
+      LeaderRecovery recovery,
+      Optional<DrainCoordinator> drains) {
     this.leadership = state.leadership();
     this.jobs = state.jobs();
     this.inventory = state.inventory();
@@ -71,6 +78,7 @@
     this.retirement = retirement;
     this.dispatcher = dispatcher;
     this.recovery = recovery;
+    this.drains = drains;
   }
 
   /** A term has begun. */
@@ -109,6 +117,7 @@
                 inventory.uses(),
                 inventory.catalogue().types(),
                 health.silentZones(now),
+                drains.map(DrainCoordinator::replacements).orElse(List.of()),
                 mayGiveBack),
             now);
     plan.hires().forEach(this::hire);
@@ -128,14 +137,19 @@
   }
 
   private void move(Placement placement) {
+    if (drains.isPresent() && !drains.get().requestMove(placement)) {
+      return;
+    }
     LOG.info(
         "event=move term={} machine={} task={} attempt={}",
         leadership.term(),
         placement.machine.name,
         placement.task,
         placement.attempt);
-    inventory.stop(placement);
-    dispatcher.sendDue(placement.machine);
+    if (drains.isEmpty()) {
+      inventory.stop(placement);
+      dispatcher.sendDue(placement.machine);
+    }
   }
 
   /** Takes in what the cloud says. */
--- a/src/main/java/io/pearscale/scheduler/Placer.java
+++ b/src/main/java/io/pearscale/scheduler/Placer.java
@@ -5,6 +5,7 @@
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.Settings.Team;
 import io.pearscale.scheduler.Machine.Room;
+import io.pearscale.storage.Maintenance;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -64,7 +65,8 @@
 
     Order(Collection<Machine> machines) {
       for (Machine m : machines) {
-        (m.spareSince.equals(Instant.MAX) ? kept : spare).add(m);
+        boolean stays = m.spareSince.equals(Instant.MAX) && !m.drainsLater;
+        (stays ? kept : spare).add(m);
       }
       shuffle(kept);
       shuffle(spare);
@@ -358,6 +360,10 @@
 
   /** The rules that depend on where the job's other tasks are, all doubt counted against it. */
   static boolean allowedNow(Job job, Machine m) {
+    boolean urgent = job.spec.priority().compareTo(Priority.NORMAL) > 0;
+    if (urgent && m.maintenance.stage() == Maintenance.Stage.PROBATION) {
+      return false;
+    }
     if (job.spec.spread() && job.inZone(m.zone) >= job.spec.perZone()) {
       return false;
     }
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/PublishedRecords.java
@@ -0,0 +1,98 @@
+package io.pearscale.scheduler;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What the leader publishes for operators' commands: values that nobody decides by, written behind
+ * all else, when they have changed, and seldom.
+ */
+final class PublishedRecords implements TransactionSource {
+  /** A value is written at this distance at the least. */
+  static final Duration SPACING = Duration.ofSeconds(5);
+
+  private static final Logger LOG = LoggerFactory.getLogger(PublishedRecords.class);
+
+  private final InstantSource clock;
+  private final int largestValue;
+  private final Map<String, JsonNode> latest = new LinkedHashMap<>();
+  private final Map<String, JsonNode> written = new HashMap<>();
+  private final Map<LeaderTransaction, Map<String, JsonNode>> sent = new HashMap<>();
+  private Instant next = Instant.MIN;
+
+  /** Publishes values of that length at the most. */
+  PublishedRecords(InstantSource clock, int largestValue) {
+    this.clock = clock;
+    this.largestValue = largestValue;
+  }
+
+  /** The value is to be seen under the key; one that is too long would refuse the transaction. */
+  void publish(String key, JsonNode value) {
+    int length = value.toString().length();
+    if (length <= largestValue) {
+      latest.put(key, value);
+    } else {
+      LOG.warn("event=status_too_long key={} length={}", key, length);
+    }
+  }
+
+  /** The term is over. */
+  void clear() {
+    latest.clear();
+    written.clear();
+    sent.clear();
+  }
+
+  private List<String> changed() {
+    List<String> keys = new ArrayList<>();
+    latest.forEach(
+        (key, value) -> {
+          if (!value.equals(written.get(key))) {
+            keys.add(key);
+          }
+        });
+    return keys;
+  }
+
+  @Override
+  public boolean isDue() {
+    return !clock.instant().isBefore(next) && !changed().isEmpty();
+  }
+
+  @Override
+  public void fill(LeaderTransaction transaction) {
+    if (!isDue()) {
+      return;
+    }
+    next = clock.instant().plus(SPACING);
+    Map<String, JsonNode> going = new HashMap<>();
+    for (String key : changed()) {
+      if (transaction.hasRoom()) {
+        JsonNode value = latest.get(key);
+        transaction.addValue(key, value, value.toString().length());
+        going.put(key, value);
+      }
+    }
+    sent.put(transaction, going);
+  }
+
+  @Override
+  public void written(LeaderTransaction transaction) {
+    written.putAll(sent.getOrDefault(transaction, Map.of()));
+    sent.remove(transaction);
+  }
+
+  @Override
+  public void writeAgain(LeaderTransaction transaction) {
+    sent.remove(transaction);
+  }
+}
--- a/src/main/java/io/pearscale/scheduler/RecordWriter.java
+++ b/src/main/java/io/pearscale/scheduler/RecordWriter.java
@@ -49,6 +49,7 @@
   private final InstantSource clock;
   private final Settings.State limits;
   private final StateClient state;
+  private final List<TransactionSource> sources;
   private final TermExecutor executor;
   private final RandomGenerator random;
   private final LevelGate level;
@@ -62,9 +63,15 @@
   private Instant lastCommit = Instant.MIN;
   private int lastChanges;
 
+  /**
+   * Makes a writer.
+   *
+   * @param sources have more to write, behind the records of jobs and machines
+   */
   RecordWriter(
       LeaderState shared,
       Environment env,
+      List<TransactionSource> sources,
       TermExecutor executor,
       CommandDispatcher dispatcher,
       MachineRetirement retirement) {
@@ -78,6 +85,7 @@
     this.random = env.random();
     this.level = env.level();
     this.listener = env.listener();
+    this.sources = sources;
     this.executor = executor;
     this.dispatcher = dispatcher;
     this.retirement = retirement;
@@ -113,7 +121,7 @@
 
   /** Asks for a transaction if something is due. */
   void planIfDue() {
-    if (records.isDue()) {
+    if (records.isDue() || sources.stream().anyMatch(TransactionSource::isDue)) {
       plan();
     }
   }
@@ -145,6 +153,7 @@
             ++commits,
             level.inForce().written());
     records.fill(transaction, inventory.catalogue().types());
+    sources.forEach(source -> source.fill(transaction));
     if (transaction.isEmpty() && !heartbeatDue) {
       return;
     }
@@ -167,6 +176,7 @@
       return;
     }
     records.writeAgain(transaction);
+    sources.forEach(source -> source.writeAgain(transaction));
     List<String> failed = reply.status() == 409 ? StateClient.failedGuards(reply) : List.of();
     if (reply.status() == 0 || failed.contains(Keys.TERM)) {
       executor.after(reply.status() == 0 ? READ_PAUSE : AT_ONCE, this::readTerm);
@@ -220,6 +230,7 @@
     records.written(transaction);
     transaction.machines().forEach(this::recorded);
     transaction.finished().forEach(this::ended);
+    sources.forEach(source -> source.written(transaction));
     dispatcher.sendAllDue();
     retirement.deleteRetired();
   }
--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -174,6 +174,7 @@
     jobs.missingIn(m.all.keySet()).forEach(this::jobOver);
     jobs.forgetUnreadable();
     records.forgetStored();
+    parts.drains.ifPresent(DrainCoordinator::forgetStored);
     m.all.forEach((key, entry) -> changed(new KeyChange(key, Optional.of(entry))));
     epoch = m.epoch;
     loaded = true;
@@ -200,6 +201,8 @@
       }
     } else if (Keys.isMarks(key) || Keys.isRoster(key)) {
       records.storedChanged(change);
+    } else if (Keys.isDrain(key) || Keys.isDrainMachines(key) || Keys.isDisruptions(key)) {
+      parts.drains.ifPresent(drains -> drains.storedChanged(change));
     } else if (key.equals(Keys.CATALOGUE) && change.entry().isPresent()) {
       List<MachineType> types = MachineType.parseAll(change.entry().get().value());
       records.storedCatalogueIs(types);
@@ -264,6 +267,7 @@
     parts.dispatcher.end();
     records.clear();
     parts.counts.clear();
+    parts.drains.ifPresent(DrainCoordinator::end);
     parts.supply.end();
     jobs.forgetPlacements();
   }
@@ -275,6 +279,7 @@
   private void takeOverWhenPossible() {
     boolean possible = leadership.leading() && loaded && epoch >= leadership.termStamp();
     if (possible && !leadership.ready() && parts.recovery.takeOver()) {
+      parts.drains.ifPresent(DrainCoordinator::begin);
       parts.passes.request();
     }
   }
@@ -294,6 +299,7 @@
     Instant now = loop.clock().instant();
     checkMachines(now);
     parts.recovery.noteProgress();
+    parts.drains.ifPresent(drains -> drains.roundIfDue(now));
     parts.passes.request();
     parts.dispatcher.sendAllDue();
     parts.supply.rentIfDue(now);
--- a/src/main/java/io/pearscale/storage/Keys.java
+++ b/src/main/java/io/pearscale/storage/Keys.java
@@ -21,6 +21,9 @@
   /** The last catalogue of machine types. */
   public static final String CATALOGUE = "c/catalogue";
 
+  /** All values of marks. */
+  public static final String ALL_MARKS = "c/marks/";
+
   /** All values of the roster. */
   public static final String ROSTERS = "c/roster/";
 
@@ -30,8 +33,14 @@
   /** What operators want drained, see {@link #drain}. */
   public static final String DRAINS = "c/drain/";
 
+  /** What the leader publishes for operators' commands. */
+  public static final String STATUS = "c/status";
+
+  private static final String DRAIN_MACHINES = "c/drain-machines/";
+  private static final String DRAIN_STATUS = "c/drain-status/";
+  private static final String DISRUPTIONS = "c/disrupted/";
+
   private static final String LIVE = "c/live/";
-  private static final String MARKS = "c/marks/";
   private static final String PAST = "p/";
 
   private Keys() {}
@@ -48,7 +57,7 @@
 
   /** A value of marks, see {@link Marks}. */
   public static String marks(int number) {
-    return MARKS + number;
+    return ALL_MARKS + number;
   }
 
   /** A value of the roster, see {@link Roster}. */
@@ -66,6 +75,31 @@
     return DRAINS + id;
   }
 
+  /** The values with the names of a drain's machines. */
+  public static String drainMachines(String id) {
+    return DRAIN_MACHINES + id + "/";
+  }
+
+  /** Whether the key holds names of a drain's machines. */
+  public static boolean isDrainMachines(String key) {
+    return key.startsWith(DRAIN_MACHINES);
+  }
+
+  /** What has come of a drain. */
+  public static String drainStatus(String id) {
+    return DRAIN_STATUS + id;
+  }
+
+  /** A value of disruptions that count. */
+  public static String disruptions(int number) {
+    return DISRUPTIONS + number;
+  }
+
+  /** Whether the key holds disruptions that count. */
+  public static boolean isDisruptions(String key) {
+    return key.startsWith(DISRUPTIONS);
+  }
+
   /** Whether the key is an operator's wish for a drain. */
   public static boolean isDrain(String key) {
     return key.startsWith(DRAINS);
@@ -78,7 +112,7 @@
 
   /** Whether the key holds marks. */
   public static boolean isMarks(String key) {
-    return key.startsWith(MARKS);
+    return key.startsWith(ALL_MARKS);
   }
 
   /** Whether the key is a value of the roster. */
--- a/src/test/java/io/pearscale/LayersTest.java
+++ b/src/test/java/io/pearscale/LayersTest.java
@@ -19,7 +19,15 @@
 
   /** The lowest first. */
   private static final List<String> LAYERS =
-      List.of("transport", "protocol", "upgrade", "storage", "coordination", "scheduler", "cli");
+      List.of(
+          "transport",
+          "protocol",
+          "upgrade",
+          "storage",
+          "drain",
+          "coordination",
+          "scheduler",
+          "cli");
 
   private static final Pattern REFERENCE =
       Pattern.compile("(?<![\\w.])io\\.pearscale\\.(\\w+)\\.[\\w.]+");
--- a/src/test/java/io/pearscale/cli/SettingsTest.java
+++ b/src/test/java/io/pearscale/cli/SettingsTest.java
@@ -37,10 +37,30 @@
     Operations on = operations("; comment\n(announce-support-s 30) (highest-level 0)");
     assertEquals(Optional.of(Duration.ofSeconds(30)), on.announceSupport());
     assertEquals(0, on.highestLevel());
+    Operations drains =
+        operations(
+            "(drains on)(budget * * most-down 1)(budget t c least-up 3)"
+                + "(window night America/Costa_Rica mon,FRI 22:00 04:00)");
+    assertEquals(2, drains.drains().orElseThrow().budgets().size());
+    assertEquals(2, drains.drains().get().windows().get("night").days().size());
     assertEquals(Operations.off(), operations(""));
     for (String bad :
         new String[] {
-          "(announce-suport-s 30)", "(announce-support-s 1)", "(highest-level x)", "()", "(", "x"
+          "(drains)",
+          "(budget t * most-down)",
+          "(budget t * most-down -1)",
+          "(budget t * most-down-share 1.5)",
+          "(budget t * most-up 1)",
+          "(window w Mars/Olympus daily 22:00 04:00)",
+          "(window w UTC someday 22:00 04:00)",
+          "(window w UTC daily 22:00 22:00)",
+          "(window w UTC daily 22:00 25:00)",
+          "(announce-suport-s 30)",
+          "(announce-support-s 1)",
+          "(highest-level x)",
+          "()",
+          "(",
+          "x"
         }) {
       SettingsError error = assertThrows(SettingsError.class, () -> operations(bad), bad);
       assertTrue(error.getMessage().contains("o.sexp"), error.getMessage());
--- /dev/null
+++ b/src/test/java/io/pearscale/drain/DrainPlannerTest.java
@@ -0,0 +1,240 @@
+package io.pearscale.drain;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pearscale.drain.DisruptionBudget.Kind;
+import io.pearscale.drain.DisruptionBudget.Load;
+import io.pearscale.drain.DisruptionLedger.Group;
+import io.pearscale.drain.DrainPlanner.Drain;
+import io.pearscale.drain.DrainPlanner.MachineView;
+import io.pearscale.drain.DrainPlanner.Plan;
+import io.pearscale.drain.DrainPlanner.TaskView;
+import io.pearscale.drain.DrainRequest.Afterwards;
+import io.pearscale.drain.DrainRequest.Wish;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.protocol.TaskId;
+import io.pearscale.storage.Maintenance;
+import io.pearscale.storage.Maintenance.Stage;
+import java.time.DayOfWeek;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.LocalTime;
+import java.time.ZoneId;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** What drains decide: fairness, budgets, windows, ends, and what they say. */
+class DrainPlannerTest {
+  private static final Instant NOW = Instant.parse("2026-12-02T12:00:00Z");
+  private static final Group GROUP = new Group("t", "c");
+  private final Map<String, MachineView> machines = new HashMap<>();
+  private final Map<String, MaintenanceWindow> windows = new HashMap<>();
+  private final List<Drain> drains = new ArrayList<>();
+  private int jobs;
+
+  private static DisruptionLedger ledger(Kind kind, double amount) {
+    return new DisruptionLedger(List.of(new DisruptionBudget("t", Optional.empty(), kind, amount)));
+  }
+
+  private TaskView task(boolean up, Optional<Duration> remaining) {
+    TaskId id = new TaskId("wk-" + ++jobs, 0);
+    return new TaskView(id, "t", "c", up, false, remaining, Duration.ZERO);
+  }
+
+  private void machine(String name, Maintenance maintenance, int tasks) {
+    List<TaskView> list = new ArrayList<>();
+    for (int i = 0; i < tasks; i++) {
+      list.add(task(true, Optional.empty()));
+    }
+    machines.put(name, new MachineView(name, maintenance, true, true, list));
+  }
+
+  private static Maintenance cordoned(String drain) {
+    return new Maintenance(Stage.CORDONED, drain);
+  }
+
+  private void drain(String id, Afterwards then, Wish wish, Optional<String> window, String... on) {
+    drains.add(
+        new Drain(
+            new DrainRequest(
+                id, "s", 2, then, wish, NOW.minusSeconds(60), NOW.plusSeconds(60), window),
+            List.of(on)));
+  }
+
+  private Plan plan(DisruptionLedger ledger, Instant now) {
+    return new DrainPlanner(windows).plan(drains, machines, ledger, task -> Optional.empty(), now);
+  }
+
+  @Test
+  void twoDrainsShareABudgetTaskByTask() {
+    machine("m-1", cordoned("d1"), 5);
+    machine("m-2", cordoned("d2"), 5);
+    drain("d1", Afterwards.HOLD, Wish.RUN, Optional.empty(), "m-1");
+    drain("d2", Afterwards.HOLD, Wish.RUN, Optional.empty(), "m-2");
+    DisruptionLedger ledger = ledger(Kind.MOST_DOWN, 4);
+    ledger.update(Map.of(GROUP, new Load(10, 0, Duration.ZERO)));
+    Plan plan = plan(ledger, NOW);
+    assertEquals(4, plan.stops().size());
+    assertEquals(2, plan.stops().stream().filter(machines.get("m-1").tasks()::contains).count());
+    assertTrue(
+        plan.statuses().get("d1").reasons().get(0).contains("budget t * most-down 4"),
+        "" + plan.statuses());
+  }
+
+  @Test
+  void whatIsDownAlreadyUsesTheBudgetUp() {
+    machine("m-1", cordoned("d1"), 2);
+    drain("d1", Afterwards.HOLD, Wish.RUN, Optional.empty(), "m-1");
+    for (Kind kind : Kind.values()) {
+      double amount =
+          switch (kind) {
+            case MOST_DOWN -> 1;
+            case MOST_DOWN_SHARE -> 0.1;
+            case LEAST_UP -> 9;
+            case MOST_LOST_S -> 5;
+          };
+      DisruptionLedger ledger = ledger(kind, amount);
+      ledger.update(Map.of(GROUP, new Load(10, 1, Duration.ofSeconds(6))));
+      assertEquals(0, plan(ledger, NOW).stops().size(), "" + kind);
+      ledger.update(Map.of(GROUP, new Load(10, 0, Duration.ZERO)));
+      assertFalse(plan(ledger, NOW).stops().isEmpty(), "" + kind);
+    }
+  }
+
+  @Test
+  void teamsWithoutABudgetOfTheirOwnHaveTheDefaultEach() {
+    DisruptionLedger none = new DisruptionLedger(List.of());
+    Disruption first = new Disruption(new TaskId("wk-1", 0), "x", "c", true, Duration.ZERO);
+    assertEquals(Optional.of("no budget covers x c"), none.spend(first));
+    DisruptionLedger ledger = ledger(Kind.MOST_DOWN, 5);
+    ledger =
+        new DisruptionLedger(
+            List.of(
+                ledger.budgets().get(0),
+                new DisruptionBudget("*", Optional.empty(), Kind.MOST_DOWN, 1)));
+    assertEquals(Optional.empty(), ledger.spend(first));
+    assertTrue(
+        ledger
+            .spend(new Disruption(new TaskId("wk-2", 0), "x", "c", true, Duration.ZERO))
+            .isPresent());
+    assertEquals(
+        Optional.empty(),
+        ledger.spend(new Disruption(new TaskId("wk-3", 0), "y", "c", true, Duration.ZERO)));
+  }
+
+  @Test
+  void anUnreadableRecordOfWhatWasSpentStopsAll() {
+    DisruptionLedger ledger = ledger(Kind.MOST_DOWN, 5);
+    ledger.spentIsUnknown("c/disrupted/0");
+    Disruption disruption = new Disruption(new TaskId("wk-1", 0), "t", "c", true, Duration.ZERO);
+    assertEquals(Optional.of("c/disrupted/0"), ledger.spend(disruption));
+  }
+
+  @Test
+  void machinesAreCordonedEmptiestFirstAndOnlySoManyAtOnce() {
+    machine("m-1", Maintenance.NONE, 3);
+    machine("m-2", Maintenance.NONE, 0);
+    machine("m-3", Maintenance.NONE, 1);
+    drain("d1", Afterwards.HOLD, Wish.RUN, Optional.empty(), "m-1", "m-2", "m-3", "m-gone");
+    Plan plan = plan(ledger(Kind.MOST_DOWN, 5), NOW);
+    assertEquals(Map.of("m-2", cordoned("d1"), "m-3", cordoned("d1")), plan.changes());
+    assertEquals(List.of(), plan.stops(), "cordoned durably first");
+    assertEquals(1, plan.statuses().get("d1").gone());
+  }
+
+  @Test
+  void emptyMachinesAreHeldOrGivenBack() {
+    machine("m-1", cordoned("d1"), 0);
+    machine("m-2", cordoned("d2"), 0);
+    drain("d1", Afterwards.HOLD, Wish.RUN, Optional.empty(), "m-1");
+    drain("d2", Afterwards.RETURN, Wish.RUN, Optional.empty(), "m-2");
+    Plan plan = plan(ledger(Kind.MOST_DOWN, 5), NOW);
+    assertEquals(Map.of("m-1", new Maintenance(Stage.DRAINED, "d1")), plan.changes());
+    assertEquals(List.of("m-2"), plan.giveBack());
+    assertEquals(DrainStatus.State.DRAINED, plan.statuses().get("d1").state());
+  }
+
+  @Test
+  void aDrainThatIsTakenBackOrLatePutsMachinesBack() {
+    machine("m-1", cordoned("d1"), 2);
+    machine("m-2", new Maintenance(Stage.DRAINED, "d1"), 0);
+    drain("d1", Afterwards.HOLD, Wish.CANCEL, Optional.empty(), "m-1", "m-2");
+    Plan cancelled = plan(ledger(Kind.MOST_DOWN, 5), NOW);
+    assertEquals(
+        Map.of("m-1", Maintenance.NONE, "m-2", new Maintenance(Stage.PROBATION, "d1")),
+        cancelled.changes());
+    assertEquals(List.of(), cancelled.stops());
+    drains.clear();
+    drain("d1", Afterwards.HOLD, Wish.RUN, Optional.empty(), "m-1", "m-2");
+    Plan late = plan(ledger(Kind.MOST_DOWN, 5), NOW.plusSeconds(61));
+    assertEquals(Map.of("m-1", Maintenance.NONE), late.changes());
+    assertEquals(DrainStatus.State.FAILED, late.statuses().get("d1").state());
+    assertTrue(late.statuses().get("d1").reasons().contains("its time was over"));
+  }
+
+  @Test
+  void outsideOfItsWindowADrainHoldsStill() {
+    machine("m-1", cordoned("d1"), 2);
+    machine("m-2", Maintenance.NONE, 0);
+    windows.put(
+        "night",
+        new MaintenanceWindow(
+            "night",
+            ZoneId.of("UTC"),
+            EnumSet.allOf(DayOfWeek.class),
+            LocalTime.of(22, 0),
+            LocalTime.of(4, 0)));
+    drain("d1", Afterwards.HOLD, Wish.RUN, Optional.of("night"), "m-1", "m-2");
+    drain("d2", Afterwards.HOLD, Wish.RUN, Optional.of("other"), "m-2");
+    Plan plan = plan(ledger(Kind.MOST_DOWN, 5), NOW);
+    assertEquals(Map.of(), plan.changes());
+    assertEquals(List.of(), plan.stops());
+    assertEquals(DrainStatus.State.PAUSED, plan.statuses().get("d1").state());
+    assertEquals(
+        List.of("window night opens at 2026-12-02T22:00:00Z"), plan.statuses().get("d1").reasons());
+    assertEquals(List.of("no window is called other"), plan.statuses().get("d2").reasons());
+  }
+
+  @Test
+  void whatIsSilentStartsOrEndsByItselfIsNotStopped() {
+    TaskView starting = task(false, Optional.empty());
+    TaskView ending = task(true, Optional.of(Duration.ofSeconds(30)));
+    TaskView longer = task(true, Optional.of(Duration.ofSeconds(300)));
+    machines.put(
+        "m-1",
+        new MachineView("m-1", cordoned("d1"), true, true, List.of(starting, ending, longer)));
+    machines.put(
+        "m-2",
+        new MachineView("m-2", cordoned("d1"), true, false, List.of(task(true, Optional.empty()))));
+    drain("d1", Afterwards.HOLD, Wish.RUN, Optional.empty(), "m-1", "m-2");
+    Plan plan = plan(ledger(Kind.MOST_DOWN, 5), NOW);
+    assertEquals(List.of(longer), plan.stops());
+    assertEquals(
+        List.of(
+            starting.task() + " is starting",
+            ending.task() + " ends by itself soon",
+            "machine m-2 is silent"),
+        plan.statuses().get("d1").reasons());
+  }
+
+  @Test
+  void networksSelectByAddress() throws Malformed {
+    IpNetwork network = IpNetwork.parse("10.1.4.0/22");
+    assertTrue(network.contains("10.1.7.255:9000"));
+    assertFalse(network.contains("10.1.8.0:9000"));
+    assertFalse(network.contains(""));
+    assertFalse(network.contains("nowhere:1"));
+    assertTrue(IpNetwork.parse("fd00:1::/32").contains("[fd00:1::7]:9000"));
+    for (String bad : List.of("10.1.4.7/22", "10.1.4.0", "x", "10.1.4.0/40")) {
+      assertThrows(Malformed.class, () -> IpNetwork.parse(bad), bad);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/scheduler/DisruptionRecordsTest.java
@@ -0,0 +1,90 @@
+package io.pearscale.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pearscale.drain.Disruption;
+import io.pearscale.protocol.Malformed;
+import io.pearscale.protocol.TaskId;
+import io.pearscale.storage.ReplicaActor.Entry;
+import io.pearscale.storage.ReplicaActor.KeyChange;
+import io.pearscale.storage.StateClient.Change;
+import io.pearscale.transport.MessagePack;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** A stop is sent only after its record is durable, and a successor finds the record. */
+class DisruptionRecordsTest {
+  private final List<Disruption> durable = new ArrayList<>();
+  private final DisruptionRecords records = new DisruptionRecords(8192, () -> {}, durable::add);
+
+  private static Disruption disruption(int task) {
+    return new Disruption(new TaskId("wk-1", task), "t", "c", true, Duration.ofSeconds(3));
+  }
+
+  private LeaderTransaction transaction() {
+    LeaderTransaction transaction = new LeaderTransaction(10, 1, 1, 1, 1);
+    records.fill(transaction);
+    return transaction;
+  }
+
+  private static JsonNode valueIn(LeaderTransaction transaction) {
+    Change last = transaction.changes().get(transaction.changes().size() - 1);
+    assertEquals("c/disrupted/0", last.key());
+    return last.value().orElseThrow();
+  }
+
+  @Test
+  void itIsCarriedOutOnceItsTransactionWasApplied() {
+    records.record(disruption(1));
+    assertTrue(records.isPending(disruption(1).task()));
+    LeaderTransaction transaction = transaction();
+    assertEquals(List.of(), durable);
+    records.written(transaction);
+    assertEquals(List.of(disruption(1)), durable);
+    assertFalse(records.isPending(disruption(1).task()));
+    records.written(transaction);
+    assertEquals(1, durable.size(), "once");
+  }
+
+  @Test
+  void oneThatMayNotHaveArrivedGoesOutAgain() {
+    records.record(disruption(1));
+    records.writeAgain(transaction());
+    assertEquals(List.of(), durable);
+    records.record(disruption(2));
+    LeaderTransaction second = transaction();
+    assertEquals(2, valueIn(second).path("d").size());
+    records.written(second);
+    assertEquals(List.of(disruption(1), disruption(2)), durable);
+  }
+
+  @Test
+  void oneThatIsOverBeforeItWasDurableIsNotCarriedOut() {
+    records.record(disruption(1));
+    LeaderTransaction transaction = transaction();
+    records.remove(disruption(1));
+    records.written(transaction);
+    assertEquals(List.of(), durable);
+    assertEquals(0, valueIn(transaction()).path("d").size());
+  }
+
+  @Test
+  void aSuccessorFindsWhatWasRecorded() throws Malformed {
+    records.record(disruption(1));
+    JsonNode value = valueIn(transaction());
+    DisruptionRecords successor = new DisruptionRecords(8192, () -> {}, durable::add);
+    successor.storedChanged(new KeyChange("c/disrupted/0", Optional.of(new Entry(value, 7))));
+    assertEquals(List.of(disruption(1)), successor.begin());
+    assertEquals(Duration.ofSeconds(3), successor.begin().get(0).lost());
+    JsonNode bad = MessagePack.map().put("d", "?");
+    successor.storedChanged(new KeyChange("c/disrupted/0", Optional.of(new Entry(bad, 8))));
+    assertThrows(Malformed.class, successor::begin);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/scheduler/ProbationTest.java
@@ -0,0 +1,62 @@
+package io.pearscale.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.pearscale.protocol.JobSpec;
+import io.pearscale.protocol.MachineType;
+import io.pearscale.protocol.Priority;
+import io.pearscale.scheduler.Machine.Life;
+import io.pearscale.storage.Maintenance;
+import io.pearscale.storage.Maintenance.Stage;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A machine that comes back from maintenance gets no urgent work before it has shown that it works.
+ */
+class ProbationTest {
+  private static final Instant NOW = Instant.EPOCH.plusSeconds(100);
+
+  private static Job job(Priority priority) {
+    JobSpec spec =
+        new JobSpec(
+            "wk-1",
+            "c",
+            "t",
+            true,
+            priority,
+            1,
+            1,
+            0,
+            1,
+            "img",
+            1,
+            Optional.empty(),
+            Optional.empty(),
+            false,
+            false,
+            false,
+            Duration.ZERO,
+            Duration.ZERO,
+            Duration.ZERO,
+            Optional.empty());
+    return new Job(spec, 1, NOW, false);
+  }
+
+  @Test
+  void urgentWorkGoesElsewhere() {
+    MachineType type =
+        new MachineType("s", 8, 0, 64, 100, 1, 1, 1, Duration.ofSeconds(5), List.of("a"));
+    Machine machine = new Machine("m-1", "a", false, type, Life.UP, NOW);
+    for (Priority priority : Priority.values()) {
+      machine.maintenance = new Maintenance(Stage.PROBATION, "d1");
+      boolean urgent = priority.compareTo(Priority.NORMAL) > 0;
+      assertEquals(!urgent, Placer.allowedNow(job(priority), machine), "" + priority);
+      machine.maintenance = Maintenance.NONE;
+      assertEquals(true, Placer.allowedNow(job(priority), machine), "" + priority);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/DrainDrillTest.java
@@ -0,0 +1,105 @@
+package io.pearscale.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pearscale.sim.Drill.Said;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Two drains with real processes and the operators' own commands, the leader's process killed in
+ * between. Each question that an operator has is answered with one command.
+ */
+class DrainDrillTest {
+  private static final int PORT = 19600;
+  private static final int EXIT_ARGUMENTS = 2;
+  private static final int EXIT_REFUSED = 4;
+  private static final String OPERATIONS =
+      """
+      (announce-support-s 10)
+      (drains on)
+      (budget * * most-down 1)
+      (window never-now Asia/Tokyo mon 03:00 03:01)
+      """;
+  private static final String SCENARIO =
+      """
+      nodes 3
+      workers report=1 lease=16 cancel=36
+      zones a b
+      type small cpus=8 mem=64 boot=2
+      capacity small a ordinary 4
+      capacity small b ordinary 4
+      machines small a ordinary 3
+      machines small b ordinary 3
+      team t
+      budget * * most-down 1
+      """;
+
+  @TempDir Path folder;
+  private Drill drill;
+
+  private Said expect(int code, String text, String... words) throws Exception {
+    Said said = drill.run(words);
+    assertEquals(code, said.code(), said.text() + drill.logs());
+    assertTrue(said.text().contains(text), said.text());
+    return said;
+  }
+
+  private boolean drainIs(String id, String state) {
+    return drill.world.state.holds("c/drain-status/" + id, "\"state\":\"" + state + "\"");
+  }
+
+  private boolean present(String job, int tasks) {
+    return drill.world.present.stream().filter(p -> p.task().job().equals(job)).count() == tasks;
+  }
+
+  @Test
+  void drainsAreAskedForShownAndEndedAcrossATakeover() throws Exception {
+    try (Drill started = new Drill(SCENARIO, PORT, folder)) {
+      drill = started;
+      for (int i = 0; i < LoopbackWorld.NODES; i++) {
+        drill.start(i, OPERATIONS);
+      }
+      drill.loopback.play();
+      String job = drill.submit("service", "tasks=6", "cpus=2");
+      drill.until("the replicas run", () -> present(job, 6));
+      expect(EXIT_REFUSED, "level 1", "drain", "start", "d1", "--zone", "a");
+      drill.until("all announce", () -> drill.world.state.under("c/member/").size() == 3);
+      expect(0, "done:", "upgrade", "finalise");
+      refusals();
+
+      expect(0, "would drain", "drain", "start", "d1", "--zone", "a", "--dry-run");
+      expect(0, "asked for drain d1", "drain", "start", "d1", "--zone", "a", "--at-once", "2");
+      expect(
+          0, "asked for drain d2", "drain", "start", "d2", "--hold", "--network", "127.1.0.4/32");
+      expect(0, "leading", "leases");
+      String leader = drill.loopback.ask(() -> drill.world.state.leader().orElseThrow());
+      drill.loopback.kill(Integer.parseInt(leader.substring(leader.length() - 1)));
+      drill.until("d1 ends", () -> drainIs("d1", "drained"));
+      drill.until("d2 ends", () -> drainIs("d2", "drained"));
+      drill.until("the replicas run again", () -> present(job, 6));
+
+      expect(0, "out of service for drain d2", "why", "m-000003");
+      expect(0, "budget * * most-down 1", "budget");
+      expect(0, "6 tasks, 6 of them have a machine", "why", job);
+      expect(0, "CANCEL", "drain", "cancel", "d2");
+      drill.until("d2 is taken back", () -> drainIs("d2", "cancelled"));
+      expect(0, "cancelled", "drain", "show", "d2");
+      assertEquals(List.of(), drill.loopback.ask(() -> List.copyOf(drill.world.broken)));
+    }
+  }
+
+  private void refusals() throws Exception {
+    expect(EXIT_REFUSED, "no machine is known", "drain", "start", "d1", "--zone", "x");
+    expect(
+        EXIT_REFUSED, "no such machine: m-9", "drain", "start", "d1", "--machines", "m-000001,m-9");
+    expect(EXIT_ARGUMENTS, "10.1.4.7/22", "drain", "start", "d1", "--network", "10.1.4.7/22");
+    expect(EXIT_ARGUMENTS, "no such window", "drain", "start", "d1", "--all", "--window", "x");
+    expect(EXIT_ARGUMENTS, "expected", "drain", "start", "D 1", "--all");
+    expect(EXIT_ARGUMENTS, "no drain is called d9", "drain", "pause", "d9");
+    expect(EXIT_ARGUMENTS, "no job is called wk-99", "why", "wk-99");
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/DrainRunsTest.java
@@ -0,0 +1,147 @@
+package io.pearscale.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pearscale.drain.DisruptionBudget;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Drains amid failures. The world's checker reads what the workers did, not the ledger: what is
+ * stopped by choice never goes beyond the budget, nor comes on top of what was lost before.
+ */
+class DrainRunsTest {
+  private static final int RUNS = Integer.getInteger("pearscale.drainRuns", 12);
+  private static final long FIRST = Long.getLong("pearscale.firstSeed", 1);
+  private static final int TRANSACTIONS = Integer.getInteger("pearscale.drainSteps", 10);
+  private static final List<String> TROUBLES =
+      List.of("crash-before", "crash-after", "crash-late", "freeze");
+
+  /** Of one priority, so that nothing is evicted and each stop is a choice. */
+  private static final String SMALL =
+      """
+      nodes 3
+      zones a b
+      type small cpus=8 mem=64 boot=5
+      capacity small a ordinary 30
+      capacity small b ordinary 30
+      machines small a ordinary 4
+      machines small b ordinary 4
+      team t
+      budget t * most-down 1
+      at 2 submit wk-1 service tasks=10 cpus=3 priority=normal
+      at 3 submit wk-2 batch tasks=12 cpus=1 run=200
+      at 14 level 1
+      """;
+
+  /** Half of a fleet of 200 machines is replaced in steps while machines and controllers fail. */
+  private static String replacement(long seed) {
+    RandomGenerator r = RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 6151);
+    StringBuilder s =
+        new StringBuilder(
+            """
+            nodes 3
+            zones a b
+            type small cpus=8 mem=64 boot=5
+            capacity small a ordinary 200
+            capacity small b ordinary 200
+            machines small a ordinary 100
+            machines small b ordinary 100
+            team t
+            team u
+            budget t * most-down-share 0.05
+            budget u * most-down 3
+            at 14 level 1
+            at 25 drain d1 zone=a at-once=12
+            """);
+    for (int i = 0; i < 30; i++) {
+      s.append("at %.2f submit wk-%d service tasks=6 cpus=2\n".formatted(2 + i * 0.1, i));
+    }
+    for (int i = 30; i < 50; i++) {
+      s.append("at %.2f submit wk-%d service tasks=4 cpus=3 team=u\n".formatted(6 + i * 0.1, i));
+    }
+    for (int i = 0; i < 6; i++) {
+      double at = 30 + r.nextDouble() * 200;
+      String node = "hive-" + r.nextInt(3);
+      String machine = "m-%06d".formatted(r.nextInt(200));
+      switch (r.nextInt(5)) {
+        case 0 ->
+            s.append("at %.2f crash %s\nat %.2f start %s\n".formatted(at, node, at + 4, node));
+        case 1 -> s.append("at %.2f freeze %s 12 midway\n".formatted(at, node));
+        case 2 -> s.append("at %.2f down state\nat %.2f up state\n".formatted(at, at + 20));
+        case 3 ->
+            s.append(
+                "at %.2f deafen %s\nat %.2f undeafen %s\n"
+                    .formatted(at, machine, at + 30, machine));
+        default ->
+            s.append(
+                "at %.2f cut %s all\nat %.2f heal %s all\n"
+                    .formatted(at, machine, at + 25, machine));
+      }
+    }
+    s.append("until 900\nexpect drain d1 drained\n");
+    for (int i = 0; i < 50; i++) {
+      s.append("expect wk-%d present %d\n".formatted(i, i < 30 ? 6 : 4));
+    }
+    return s.toString();
+  }
+
+  @Test
+  void aSteppedReplacementKeepsTheBudgets() {
+    List<String> bad = new ArrayList<>();
+    for (long seed = FIRST; seed < FIRST + RUNS; seed++) {
+      Scenario scenario = Scenario.of(replacement(seed), seed);
+      List<String> failures = scenario.run();
+      if (!failures.isEmpty()) {
+        bad.add("seed " + seed + ":\n" + String.join("\n", failures));
+      }
+      assertTrue(scenario.world().disruptions.stops() >= 50, "hardly anything was stopped");
+    }
+    assertTrue(bad.isEmpty(), String.join("\n\n", bad));
+  }
+
+  @Test
+  void theLeaderMeetsATroubleAtEachStep() {
+    List<String> bad = new ArrayList<>();
+    for (String trouble : TROUBLES) {
+      for (int number = 1; number <= TRANSACTIONS; number++) {
+        String day =
+            SMALL
+                + "at 20 drain d1 zone=a at-once=2\n"
+                + "at 20.001 at-commit %d %s\n".formatted(number, trouble)
+                + "until 300\nexpect drain d1 drained\nexpect wk-1 present 10\n"
+                + "expect wk-2 stage done\n";
+        List<String> failures = Scenario.play(day, number);
+        if (!failures.isEmpty()) {
+          bad.add(trouble + " at " + number + ":\n" + String.join("\n", failures));
+        }
+      }
+    }
+    assertTrue(bad.isEmpty(), String.join("\n\n", bad));
+  }
+
+  /** The checker is told of a smaller budget than the controllers, and must find them over it. */
+  @Test
+  void theCheckerFindsAnOverspend() {
+    String day =
+        SMALL.replace("most-down 1", "most-down 3")
+            + "at 20 drain d1 zone=a at-once=4\nuntil 120\n";
+    Scenario scenario = Scenario.of(day, 1);
+    scenario
+        .world()
+        .disruptions
+        .add(new DisruptionBudget("t", Optional.empty(), DisruptionBudget.Kind.MOST_DOWN, 1));
+    scenario.run();
+    assertTrue(
+        scenario.world().broken.stream().anyMatch(b -> b.startsWith("over_budget")),
+        () -> String.join("\n", scenario.world().log));
+    assertEquals(
+        List.of(),
+        scenario.world().broken.stream().filter(b -> !b.startsWith("over_budget")).toList());
+  }
+}
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -1,9 +1,14 @@
 package io.pearscale.sim;
 
+import io.pearscale.drain.Disruption;
+import io.pearscale.drain.DisruptionBudget;
+import io.pearscale.drain.DrainRequest;
+import io.pearscale.drain.DrainSettings;
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.Settings;
+import io.pearscale.protocol.TaskId;
 import io.pearscale.scheduler.Operations;
 import io.pearscale.upgrade.ClusterLevel;
 import io.pearscale.upgrade.SupportedLevels;
@@ -58,6 +63,7 @@
     world.endOfDay();
     failures.addAll(world.broken);
     if (!failures.isEmpty()) {
+      world.state.under("c/drain-status/").forEach((key, v) -> failures.add(key + " " + v));
       failures.addAll(world.log);
     }
     return failures;
@@ -93,7 +99,11 @@
       case "value-bytes" -> world.valueBytes = Integer.parseInt(w.get(1));
       case "announce" ->
           world.operations =
-              new Operations(Optional.of(seconds(w.get(1))), world.operations.highestLevel());
+              new Operations(
+                  Optional.of(seconds(w.get(1))),
+                  world.operations.highestLevel(),
+                  world.operations.drains());
+      case "budget" -> budget(w);
       case "drift" -> world.nodes.get(w.get(1)).drift = Double.parseDouble(w.get(2));
       case "cpu-share" -> world.cpuShare = Double.parseDouble(w.get(1));
       case "workers" -> {
@@ -264,6 +274,21 @@
       case "build" -> build(w);
       case "level" ->
           world.state.set("c/level", World.map().put("level", Integer.parseInt(w.get(1))));
+      case "drain" -> drain(w);
+      case "disrupted" -> {
+        TaskId task = SimUser.task(w.get(1));
+        JobSpec spec = world.submitted.get(task.job());
+        world.state.set(
+            "c/disrupted/0",
+            Disruption.encode(
+                List.of(new Disruption(task, spec.team(), spec.jobClass(), true, Duration.ZERO))));
+      }
+      case "drain-wish" ->
+          world.state.set(
+              "c/drain/" + w.get(1),
+              DrainRequest.withWish(
+                  world.state.under("c/drain/" + w.get(1)).get("c/drain/" + w.get(1)),
+                  DrainRequest.Wish.valueOf(w.get(2))));
       case "level-back" ->
           world.state.set(
               "c/level", World.map().put("level", 1).put("written", 0).put("migrated", false));
@@ -300,6 +325,53 @@
     }
   }
 
+  /** Switches drains on, with one more budget; it is checked from the workers' history as well. */
+  private void budget(List<String> w) {
+    DisruptionBudget budget =
+        new DisruptionBudget(
+            w.get(1),
+            Optional.of(w.get(2)).filter(c -> !c.equals("*")),
+            DisruptionBudget.Kind.parse(w.get(3)).orElseThrow(),
+            Double.parseDouble(w.get(4)));
+    List<DisruptionBudget> budgets = new ArrayList<>();
+    world.operations.drains().ifPresent(set -> budgets.addAll(set.budgets()));
+    budgets.add(budget);
+    world.operations =
+        new Operations(
+            world.operations.announceSupport(),
+            world.operations.highestLevel(),
+            Optional.of(new DrainSettings(budgets, Map.of())));
+    world.disruptions.add(budget);
+  }
+
+  /** Asks for a drain, as an operator's command does. */
+  private void drain(List<String> w) {
+    Map<String, String> o = options(w.subList(2, w.size()));
+    List<String> machines = new ArrayList<>();
+    for (SimWorker worker : world.workers.values()) {
+      boolean meant =
+          o.containsKey("zone")
+              ? worker.zone.equals(o.get("zone"))
+              : o.containsKey("all") || List.of(o.get("machines").split(",")).contains(worker.name);
+      if (meant && !worker.isDead()) {
+        machines.add(worker.name);
+      }
+    }
+    DrainRequest request =
+        new DrainRequest(
+            w.get(1),
+            String.join(" ", w),
+            (int) number(o, "at-once", 1),
+            o.containsKey("hold") ? DrainRequest.Afterwards.HOLD : DrainRequest.Afterwards.RETURN,
+            DrainRequest.Wish.RUN,
+            world.now,
+            world.now.plus(seconds(o.getOrDefault("for", "3600"))),
+            Optional.empty());
+    request
+        .changes(machines, world.valueBytes)
+        .forEach(change -> world.state.set(change.key(), change.value().orElseThrow()));
+  }
+
   /** A user submits a job, as the words of a scenario's line say. */
   static void submit(World world, List<String> w) {
     Map<String, String> o = options(w.subList(3, w.size()));
@@ -378,6 +450,10 @@
               .level()
               .equals(
                   new ClusterLevel(Integer.parseInt(w.get(1)), Integer.parseInt(w.get(1)), true));
+    } else if (w.get(0).equals("drain")) {
+      good = world.state.holds("c/drain-status/" + w.get(1), "\"state\":\"" + w.get(2) + "\"");
+    } else if (w.get(0).equals("voluntary-stops")) {
+      good = world.disruptions.stops() >= Integer.parseInt(w.get(2));
     } else if (w.get(0).equals("announced")) {
       good = world.state.under("c/member/").size() == Integer.parseInt(w.get(2));
     } else if (w.get(0).equals("leader")) {
--- a/src/test/java/io/pearscale/sim/SimUser.java
+++ b/src/test/java/io/pearscale/sim/SimUser.java
@@ -47,6 +47,11 @@
     return run.plus(apart.multipliedBy(task.index()));
   }
 
+  /** Whether the user wants the job no more, confirmed or not. */
+  boolean cancelAsked() {
+    return cancelAsked;
+  }
+
   boolean mistake() {
     return mistake;
   }
--- a/src/test/java/io/pearscale/sim/SimWorker.java
+++ b/src/test/java/io/pearscale/sim/SimWorker.java
@@ -345,6 +345,9 @@
    */
   private void kill(Key key, Task t, double leeway) {
     JobSpec spec = world.submitted.get(key.task.job());
+    if (t.started && t.stage.equals("running")) {
+      world.disruptions.stopped(key.task);
+    }
     boolean hasTime = leeway > 0 && leeway >= spec.save().toMillis() / 1000.0;
     if (t.stage.equals("running") && !spec.checkpoint().isZero() && hasTime) {
       t.stage = "flushing";
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -88,6 +88,9 @@
   /** The part of a core that the settings give each controller. */
   double cpuShare = 1;
 
+  /** What the workers' history shows of disruptions. */
+  final DisruptionChecker disruptions = new DisruptionChecker(this);
+
   /** What operators have switched on. */
   Operations operations = Operations.off();
 
@@ -382,6 +385,7 @@
     starts.merge(task.job(), 1, Integer::sum);
     begun.putIfAbsent(task.job(), now);
     present.add(new Presence(w, task, attempt));
+    disruptions.started(task);
   }
 
   /**
@@ -395,6 +399,7 @@
 
   void taskGone(SimWorker w, TaskId task, long attempt) {
     present.removeIf(p -> p.worker == w && p.task.equals(task) && p.attempt == attempt);
+    disruptions.gone(task);
   }
 
   /** What users check at the end of a day, beside the rules. */
