Let drains take a share of their machines at a time, and be forgotten once they are over

Need: a drain of a fleet is asked for in percent of it, and what is stored of a finished one stayed for good.

Change: --at-once takes P%; pearscale drain forget removes a drain that is over and holds no machine, guarded by its stamp; the leader publishes nothing more of it.

--- a/src/main/java/io/pearscale/cli/DrainCommand.java
+++ b/src/main/java/io/pearscale/cli/DrainCommand.java
@@ -28,6 +28,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.Callable;
+import java.util.regex.Pattern;
 import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -46,7 +47,8 @@
       DrainCommand.Show.class,
       DrainCommand.Pause.class,
       DrainCommand.Resume.class,
-      DrainCommand.Cancel.class
+      DrainCommand.Cancel.class,
+      DrainCommand.Forget.class
     })
 final class DrainCommand implements Callable<Integer> {
   @Spec CommandSpec spec;
@@ -94,6 +96,9 @@
       description = "Asks for a drain of machines that are known now.",
       mixinStandardHelpOptions = true)
   static final class Start extends OperatorCommand {
+    private static final Pattern AT_ONCE = Pattern.compile("[1-9][0-9]{0,5}|([1-9][0-9]?|100)%");
+    private static final int MOST_HOURS = 24 * 365;
+
     @Parameters(paramLabel = "ID", description = "a short name of the drain")
     String id;
 
@@ -103,8 +108,9 @@
     @Option(
         names = "--at-once",
         defaultValue = "1",
+        paramLabel = "N|P%",
         description = "so many machines are emptied at a time (default: ${DEFAULT-VALUE})")
-    int atOnce;
+    String atOnce;
 
     @Option(
         names = "--hold",
@@ -153,8 +159,12 @@
       if (!DrainRequest.isId(id)) {
         return Optional.of("ID " + id + ": expected up to 12 of a-z, 0-9 and -");
       }
-      if (atOnce < 1 || !(hours > 0 && hours <= 24 * 365)) {
-        return Optional.of("--at-once from 1 and --hours from 0 to 8760 expected");
+      if (!AT_ONCE.matcher(atOnce).matches()) {
+        return Optional.of("--at-once " + atOnce + ": expected a number from 1, or 1% to 100%");
+      }
+      if (!(hours > 0 && hours <= MOST_HOURS)) {
+        return Optional.of(
+            "--hours " + hours + ": expected more than 0, " + MOST_HOURS + " at most");
       }
       if (window.isPresent()
           && files
@@ -167,6 +177,15 @@
       return Optional.empty();
     }
 
+    /** A share of the machines is rounded up, so that it is never none. */
+    private int machinesAtOnce(int machines) {
+      if (!atOnce.endsWith("%")) {
+        return Integer.parseInt(atOnce);
+      }
+      int percent = Integer.parseInt(atOnce.substring(0, atOnce.length() - 1));
+      return (machines * percent + 99) / 100;
+    }
+
     private static MachineFacts facts(Roster.Entry entry) {
       return new MachineFacts(entry.machine(), entry.zone(), entry.type(), entry.address());
     }
@@ -197,7 +216,7 @@
           new DrainRequest(
               id,
               selector.toString(),
-              atOnce,
+              machinesAtOnce(machines.size()),
               hold ? Afterwards.HOLD : Afterwards.RETURN,
               Wish.RUN,
               now,
@@ -205,7 +224,7 @@
               window);
       if (dryRun) {
         say(
-            "would drain %d machines, %d at a time: ".formatted(machines.size(), atOnce)
+            "would drain %d machines, %d at a time: ".formatted(machines.size(), request.atOnce())
                 + String.join(" ", machines));
         return 0;
       }
@@ -338,4 +357,47 @@
       return Wish.CANCEL;
     }
   }
+
+  /** Removes what is stored of a drain. */
+  @Command(
+      name = "forget",
+      description = "Removes what is stored of a drain that is over.",
+      mixinStandardHelpOptions = true)
+  static final class Forget extends OperatorCommand {
+    @Parameters(paramLabel = "ID", description = "the drain")
+    String id;
+
+    @Override
+    int run(StateSession state) throws IOException {
+      state.read(Keys.LEVEL);
+      Optional<Stored> stored = state.read(Keys.drain(id));
+      if (stored.isEmpty()) {
+        return fail("no drain is called " + id, Main.EXIT_SETTINGS);
+      }
+      Optional<Stored> status = state.read(Keys.drainStatus(id));
+      if (!status.map(s -> DrainStatus.isOver(s.value())).orElse(false)) {
+        return refuse("it is not over: cancel it, and wait until the leader has taken that up");
+      }
+      List<String> held = new ArrayList<>();
+      try {
+        for (Stored value : state.list(Keys.ROSTERS).values()) {
+          Roster.decode(value.value()).stream()
+              .filter(entry -> !entry.maintenance().takesTasks())
+              .filter(entry -> entry.maintenance().drain().equals(id))
+              .forEach(entry -> held.add(entry.machine()));
+        }
+      } catch (Malformed e) {
+        return fail("a record can't be read: " + e.getMessage(), Main.EXIT_FAILURE);
+      }
+      if (!held.isEmpty()) {
+        return refuse("it holds machines: " + String.join(", ", held));
+      }
+      List<Change> changes = new ArrayList<>();
+      changes.add(Change.drop(Keys.drain(id)));
+      changes.add(Change.drop(Keys.drainStatus(id)));
+      state.list(Keys.drainMachines(id)).keySet().forEach(key -> changes.add(Change.drop(key)));
+      List<Guard> guards = List.of(new Guard(Keys.drain(id), stored.get().stamp()));
+      return conclude(state.write(guards, changes), "forgot drain " + id);
+    }
+  }
 }
--- a/src/main/java/io/pearscale/drain/DrainStatus.java
+++ b/src/main/java/io/pearscale/drain/DrainStatus.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.stream.Stream;
 
 /**
  * How far a drain is, and what holds it up.
@@ -43,9 +44,11 @@
     FAILED
   }
 
-  /** Whether nothing will come of it any more, unless machines are held. */
-  public boolean isOver() {
-    return state == State.DRAINED || state == State.CANCELLED || state == State.FAILED;
+  /** Whether nothing more comes of a drain with that record. */
+  public static boolean isOver(JsonNode record) {
+    String word = record.path("state").asText();
+    return Stream.of(State.DRAINED, State.CANCELLED, State.FAILED)
+        .anyMatch(state -> word.equals(state.name().toLowerCase(Locale.ROOT)));
   }
 
   /** The record, with so many reasons at the most. */
--- a/src/main/java/io/pearscale/scheduler/DrainCoordinator.java
+++ b/src/main/java/io/pearscale/scheduler/DrainCoordinator.java
@@ -153,6 +153,7 @@
     }
     next = now.plus(SPACING);
     recordAllMachines();
+    published.withdraw(key -> Keys.isDrainStatus(key) && !requests.isKnown(Keys.name(key)));
     closeWhatIsOver(now);
     ledger.update(loads(now));
     if (level.isOn(Feature.MACHINE_MAINTENANCE)) {
--- a/src/main/java/io/pearscale/scheduler/PublishedRecords.java
+++ b/src/main/java/io/pearscale/scheduler/PublishedRecords.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -45,6 +46,12 @@
     }
   }
 
+  /** Values under such keys are not published any more. */
+  void withdraw(Predicate<String> keys) {
+    latest.keySet().removeIf(keys);
+    written.keySet().removeIf(keys);
+  }
+
   /** The term is over. */
   void clear() {
     latest.clear();
--- a/src/main/java/io/pearscale/storage/Keys.java
+++ b/src/main/java/io/pearscale/storage/Keys.java
@@ -90,6 +90,11 @@
     return DRAIN_STATUS + id;
   }
 
+  /** Whether the key says what has come of a drain. */
+  public static boolean isDrainStatus(String key) {
+    return key.startsWith(DRAIN_STATUS);
+  }
+
   /** A value of disruptions that count. */
   public static String disruptions(int number) {
     return DISRUPTIONS + number;
--- a/src/test/java/io/pearscale/sim/DrainDrillTest.java
+++ b/src/test/java/io/pearscale/sim/DrainDrillTest.java
@@ -72,7 +72,8 @@
       refusals();
 
       expect(0, "would drain", "drain", "start", "d1", "--zone", "a", "--dry-run");
-      expect(0, "asked for drain d1", "drain", "start", "d1", "--zone", "a", "--at-once", "2");
+      expect(0, "asked for drain d1", "drain", "start", "d1", "--zone", "a", "--at-once", "50%");
+      expect(EXIT_REFUSED, "it is not over", "drain", "forget", "d1");
       expect(
           0, "asked for drain d2", "drain", "start", "d2", "--hold", "--network", "127.1.0.4/32");
       expect(0, "leading", "leases");
@@ -88,6 +89,8 @@
       expect(0, "CANCEL", "drain", "cancel", "d2");
       drill.until("d2 is taken back", () -> drainIs("d2", "cancelled"));
       expect(0, "cancelled", "drain", "show", "d2");
+      expect(0, "forgot drain d2", "drain", "forget", "d2");
+      expect(EXIT_ARGUMENTS, "no drain is called d2", "drain", "show", "d2");
       assertEquals(List.of(), drill.loopback.ask(() -> List.copyOf(drill.world.broken)));
     }
   }
@@ -99,6 +102,7 @@
     expect(EXIT_ARGUMENTS, "10.1.4.7/22", "drain", "start", "d1", "--network", "10.1.4.7/22");
     expect(EXIT_ARGUMENTS, "no such window", "drain", "start", "d1", "--all", "--window", "x");
     expect(EXIT_ARGUMENTS, "expected", "drain", "start", "D 1", "--all");
+    expect(EXIT_ARGUMENTS, "1% to 100%", "drain", "start", "d1", "--all", "--at-once", "0%");
     expect(EXIT_ARGUMENTS, "no drain is called d9", "drain", "pause", "d9");
     expect(EXIT_ARGUMENTS, "no job is called wk-99", "why", "wk-99");
   }
--- a/src/test/java/io/pearscale/sim/RandomRunsTest.java
+++ b/src/test/java/io/pearscale/sim/RandomRunsTest.java
@@ -70,6 +70,41 @@
     assertTrue(bad.isEmpty(), String.join("\n\n", bad));
   }
 
+  /**
+   * The same days while machines are drained at random times, some held and some given back, and
+   * drains are paused and cancelled. Work is evicted on these days, so the rules and the ends of
+   * all jobs are checked, and budgets are left to {@link DrainRunsTest}.
+   */
+  @Test
+  void drainsOnRandomDays() {
+    List<String> bad = new ArrayList<>();
+    for (long seed = FIRST; seed < FIRST + RUNS / 2; seed++) {
+      List<String> failures = Scenario.play(withDrains(day(seed), seed), seed);
+      if (!failures.isEmpty()) {
+        bad.add("seed " + seed + ":\n" + String.join("\n", failures));
+      }
+    }
+    assertTrue(bad.isEmpty(), String.join("\n\n", bad));
+  }
+
+  private static String withDrains(String day, long seed) {
+    RandomGenerator r = RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 32452843);
+    StringBuilder drains =
+        new StringBuilder("nodes 3\nunchecked-budget * * most-down 2\nat 8 level 1\n");
+    for (int i = 0; i < 2 + r.nextInt(2); i++) {
+      double at = 12 + r.nextDouble() * 60;
+      int machine = r.nextInt(4);
+      drains.append(
+          "at %.2f drain d%d machines=m-00000%d,m-00000%d at-once=2 for=150%s\n"
+              .formatted(at, i, machine, (machine + 1) % 4, r.nextBoolean() ? " hold" : ""));
+      if (r.nextInt(3) == 0) {
+        drains.append("at %.2f drain-wish d%d PAUSE\n".formatted(at + 2, i));
+      }
+      drains.append("at %.2f drain-wish d%d CANCEL\n".formatted(at + 20 + r.nextDouble() * 90, i));
+    }
+    return day.replaceFirst("nodes 3\n", drains.toString());
+  }
+
   private static String withSteps(String day, long seed) {
     RandomGenerator r = RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 15485863);
     StringBuilder steps = new StringBuilder("nodes 3\nvalue-bytes 1024\n");
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -103,7 +103,8 @@
                   Optional.of(seconds(w.get(1))),
                   world.operations.highestLevel(),
                   world.operations.drains());
-      case "budget" -> budget(w);
+      case "budget" -> world.disruptions.add(budget(w));
+      case "unchecked-budget" -> budget(w);
       case "drift" -> world.nodes.get(w.get(1)).drift = Double.parseDouble(w.get(2));
       case "cpu-share" -> world.cpuShare = Double.parseDouble(w.get(1));
       case "workers" -> {
@@ -325,8 +326,8 @@
     }
   }
 
-  /** Switches drains on, with one more budget; it is checked from the workers' history as well. */
-  private void budget(List<String> w) {
+  /** Switches drains on, with one more budget. */
+  private DisruptionBudget budget(List<String> w) {
     DisruptionBudget budget =
         new DisruptionBudget(
             w.get(1),
@@ -341,7 +342,7 @@
             world.operations.announceSupport(),
             world.operations.highestLevel(),
             Optional.of(new DrainSettings(budgets, Map.of())));
-    world.disruptions.add(budget);
+    return budget;
   }
 
   /** Asks for a drain, as an operator's command does. */
