--- /dev/null
+++ b/src/test/java/io/pearscale/knownred/KnownRedExtension.java
@@ -0,0 +1,77 @@
+package io.pearscale.knownred;
+
+import io.pearscale.knownred.KnownRedResults.Result;
+import java.io.IOException;
+import java.lang.reflect.Method;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.extension.DynamicTestInvocationContext;
+import org.junit.jupiter.api.extension.ExtensionContext;
+import org.junit.jupiter.api.extension.InvocationInterceptor;
+import org.junit.jupiter.api.extension.ReflectiveInvocationContext;
+import org.opentest4j.TestAbortedException;
+
+/**
+ * Runs the tests that are known to be red like all others, and passes over their failure. One that
+ * is green fails, since its entry is stale. Registered for all tests by the service loader.
+ */
+public final class KnownRedExtension implements InvocationInterceptor {
+  static final String LIST = "pearscale.knownRed.list";
+  static final String RESULTS = "pearscale.knownRed.results";
+  static final Path DEFAULT_LIST = Path.of("KNOWN-RED.txt");
+  static final Path DEFAULT_RESULTS = Path.of("target", "known-red-results.txt");
+
+  static {
+    // Results of an earlier run say nothing of this one.
+    try {
+      Files.deleteIfExists(DEFAULT_RESULTS);
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
+  @Override
+  public void interceptTestMethod(
+      Invocation<Void> invocation,
+      ReflectiveInvocationContext<Method> method,
+      ExtensionContext context)
+      throws Throwable {
+    run(invocation, idOfMethod(context), context);
+  }
+
+  @Override
+  public void interceptDynamicTest(
+      Invocation<Void> invocation, DynamicTestInvocationContext test, ExtensionContext context)
+      throws Throwable {
+    String id = idOfMethod(context) + "[" + context.getDisplayName() + "]";
+    run(invocation, id, context);
+  }
+
+  private static String idOfMethod(ExtensionContext context) {
+    ExtensionContext holder = context;
+    while (holder.getTestMethod().isEmpty()) {
+      holder = holder.getParent().orElseThrow();
+    }
+    return holder.getRequiredTestClass().getName() + "#" + holder.getRequiredTestMethod().getName();
+  }
+
+  private static void run(Invocation<Void> invocation, String id, ExtensionContext context)
+      throws Throwable {
+    KnownRedList list =
+        KnownRedList.read(
+            context.getConfigurationParameter(LIST).map(Path::of).orElse(DEFAULT_LIST));
+    if (!list.contains(id)) {
+      invocation.proceed();
+      return;
+    }
+    Path results = context.getConfigurationParameter(RESULTS).map(Path::of).orElse(DEFAULT_RESULTS);
+    try {
+      invocation.proceed();
+    } catch (Exception | AssertionError e) {
+      KnownRedResults.append(results, id, Result.FAILED);
+      throw new TestAbortedException("known to be red: " + id, e);
+    }
+    KnownRedResults.append(results, id, Result.PASSED);
+    throw new AssertionError("green, but listed in KNOWN-RED.txt: " + id);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/pearscale/knownred/KnownRedTest.java
@@ -0,0 +1,124 @@
+package io.pearscale.knownred;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.platform.engine.discovery.DiscoverySelectors.selectClass;
+
+import io.pearscale.knownred.KnownRedResults.Result;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.platform.testkit.engine.EngineExecutionResults;
+import org.junit.platform.testkit.engine.EngineTestKit;
+
+/** What is listed as known red is run, passed over while it fails, and must not become green. */
+class KnownRedTest {
+  private static final String SAMPLE = Samples.class.getName() + "#";
+
+  @TempDir Path folder;
+
+  /** Tests that are played by the tests below only. */
+  static class Samples {
+    @Test
+    void red() {
+      throw new AssertionError("always");
+    }
+
+    @Test
+    void green() {}
+
+    @TestFactory
+    Stream<DynamicTest> seeds() {
+      return Stream.of(1, 2, 3)
+          .map(seed -> DynamicTest.dynamicTest("seed " + seed, () -> assertEquals(3, seed)));
+    }
+  }
+
+  private static String entry(String test) {
+    return "test: %s\ncommand: mvn verify\nseen: it fails\nissue: 1\n\n".formatted(test);
+  }
+
+  private Path list() throws IOException {
+    return folder.resolve("list.txt");
+  }
+
+  private Path results() {
+    return folder.resolve("results.txt");
+  }
+
+  private EngineExecutionResults play(String list) throws IOException {
+    Files.writeString(list(), list);
+    return EngineTestKit.engine("junit-jupiter")
+        .selectors(selectClass(Samples.class))
+        .configurationParameter("junit.jupiter.extensions.autodetection.enabled", "true")
+        .configurationParameter(KnownRedExtension.LIST, list().toString())
+        .configurationParameter(KnownRedExtension.RESULTS, results().toString())
+        .execute();
+  }
+
+  @Test
+  void withoutAListAllFailuresCount() throws IOException {
+    play("")
+        .testEvents()
+        .assertStatistics(count -> count.started(5).failed(3).succeeded(2).aborted(0));
+  }
+
+  @Test
+  void onlyWhatIsListedIsPassedOver() throws IOException {
+    play(entry(SAMPLE + "red") + entry(SAMPLE + "seeds[seed 2]"))
+        .testEvents()
+        .assertStatistics(count -> count.started(5).failed(1).succeeded(2).aborted(2));
+    assertEquals(
+        Map.of(SAMPLE + "red", Result.FAILED, SAMPLE + "seeds[seed 2]", Result.FAILED),
+        KnownRedResults.read(results()));
+    KnownRedList list = KnownRedList.read(list());
+    assertEquals(List.of(), KnownRedCheck.problems(list, KnownRedResults.read(results())));
+    assertTrue(
+        KnownRedCheck.report(list, KnownRedResults.read(results()))
+            .contains("known red: FAILED " + SAMPLE + "red (issue 1): it fails"));
+  }
+
+  @Test
+  void aGreenEntryFails() throws IOException {
+    play(entry(SAMPLE + "green"))
+        .testEvents()
+        .assertStatistics(count -> count.started(5).failed(4).succeeded(1).aborted(0));
+    assertEquals(
+        List.of("green, to be taken off the list: " + SAMPLE + "green"),
+        KnownRedCheck.problems(KnownRedList.read(list()), KnownRedResults.read(results())));
+  }
+
+  @Test
+  void anUnknownEntryFails() throws IOException {
+    play(entry(SAMPLE + "seeds[seed 9]") + entry(SAMPLE + "seeds"));
+    assertEquals(
+        List.of(
+            "no such test has run: " + SAMPLE + "seeds[seed 9]",
+            "no such test has run: " + SAMPLE + "seeds"),
+        KnownRedCheck.problems(KnownRedList.read(list()), KnownRedResults.read(results())));
+  }
+
+  @Test
+  void aListThatIsTooLongOrMalformedIsRefused() {
+    String three = entry("a.T#a") + entry("a.T#b[x]") + entry("a.T#c");
+    assertEquals(3, KnownRedList.parse("# a comment\n\n" + three).entries().size());
+    for (String wrong :
+        List.of(
+            three + entry("a.T#d"),
+            entry("a.T#a") + entry("a.T#a"),
+            entry("a.T"),
+            "test: a.T#a\n",
+            entry("a.T#a").replace("it fails", ""),
+            entry("a.T#a").replace("command:", "command"))) {
+      assertThrows(IllegalArgumentException.class, () -> KnownRedList.parse(wrong), wrong);
+    }
+  }
+}
--- a/src/test/java/io/pearscale/sim/CancelRunsTest.java
+++ b/src/test/java/io/pearscale/sim/CancelRunsTest.java
@@ -1,52 +1,39 @@
 package io.pearscale.sim;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
 
 /** Days on which many jobs are cancelled amid troubles: their tasks must be gone in time. */
 class CancelRunsTest {
+  private static final int SMALL = 24;
   private static final int RUNS = Integer.getInteger("pearscale.cancelRuns", 60);
-  private static final int MACHINES = Integer.getInteger("pearscale.cancelMachines", 24);
+  private static final int MACHINES = Integer.getInteger("pearscale.cancelMachines", SMALL);
   private static final long FIRST = Long.getLong("pearscale.firstSeed", 1);
 
   /** Seeds of days on which cancelled tasks went on while a stop counted as sent once. */
   private static final List<Long> FAILED_ONCE = List.of(1847L, 10590L, 12187L);
 
-  private static final long FAILED_ONCE_AT_SIZE = 3016;
+  private static final List<Long> FAILED_ONCE_AT_SIZE = List.of(3016L);
   private static final int SIZE = 300;
 
-  @Test
-  void cancelledTasksAreGoneInTime() {
-    List<String> broken = new ArrayList<>();
-    for (long seed = FIRST; seed < FIRST + RUNS; seed++) {
-      broken.addAll(brokenRules(seed, MACHINES));
-    }
-    assertEquals(List.of(), broken);
-  }
-
-  @Test
-  void daysThatFailedOnce() {
-    List<String> broken = new ArrayList<>();
-    FAILED_ONCE.forEach(seed -> broken.addAll(brokenRules(seed, 24)));
-    broken.addAll(brokenRules(FAILED_ONCE_AT_SIZE, SIZE));
-    assertEquals(List.of(), broken);
+  @TestFactory
+  Stream<DynamicTest> cancelledTasksAreGoneInTime() {
+    return Days.rulesHold(Days.seeds(FIRST, RUNS), seed -> CancelDays.day(seed, MACHINES));
   }
 
-  private static List<String> brokenRules(long seed, int machines) {
-    return Scenario.play(CancelDays.day(seed, machines), seed).stream()
-        .filter(CancelRunsTest::isRule)
-        .limit(3)
-        .map(rule -> "seed " + seed + " on " + machines + " machines: " + rule)
-        .toList();
+  @TestFactory
+  Stream<DynamicTest> daysThatFailedOnce() {
+    return Days.rulesHold(FAILED_ONCE, seed -> CancelDays.day(seed, SMALL));
   }
 
-  private static boolean isRule(String failure) {
-    return failure.matches(
-        "(ran_\\w+|started_cancelled|quota|wrong_place|forgotten|went_back|not_done) at .*");
+  @TestFactory
+  Stream<DynamicTest> daysThatFailedOnceAtSize() {
+    return Days.rulesHold(FAILED_ONCE_AT_SIZE, seed -> CancelDays.day(seed, SIZE));
   }
 
   /** The checker itself: a worker that ignores one stop command is found out. */
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/Days.java
@@ -0,0 +1,64 @@
+package io.pearscale.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.function.LongFunction;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+
+/** Makes a test of each seeded day, so that one that fails can be named and run by itself. */
+final class Days {
+  /** What the world's checker calls the rules that hold on any day. */
+  private static final String RULES =
+      "(ran_\\w+|started_cancelled|quota|wrong_place|forgotten|went_back|not_done) at .*";
+
+  private Days() {}
+
+  /** So many seeds from the first one on. */
+  static List<Long> seeds(long first, int count) {
+    return LongStream.range(first, first + count).boxed().toList();
+  }
+
+  /** Days on which nothing at all may go wrong. */
+  static Stream<DynamicTest> nothingFails(Collection<Long> seeds, LongFunction<String> dayOf) {
+    return each(
+        seeds,
+        seed -> {
+          List<String> failures = Scenario.play(dayOf.apply(seed), seed);
+          assertTrue(failures.isEmpty(), "seed " + seed + ":\n" + String.join("\n", failures));
+        });
+  }
+
+  /** Days on which no rule may be broken, whatever becomes of the work. */
+  static Stream<DynamicTest> rulesHold(Collection<Long> seeds, LongFunction<String> dayOf) {
+    return each(seeds, seed -> assertEquals(List.of(), brokenRules(dayOf.apply(seed), seed)));
+  }
+
+  /** The first rules that are broken on a day. */
+  static List<String> brokenRules(String day, long seed) {
+    return Scenario.play(day, seed).stream()
+        .filter(Days::isRule)
+        .limit(3)
+        .map(rule -> "seed " + seed + ": " + rule)
+        .toList();
+  }
+
+  private static boolean isRule(String failure) {
+    return failure.matches(RULES);
+  }
+
+  /** A test for each seed, named after it. */
+  static Stream<DynamicTest> each(Collection<Long> seeds, SeededTest test) {
+    return seeds.stream()
+        .map(seed -> DynamicTest.dynamicTest("seed " + seed, () -> test.play(seed)));
+  }
+
+  /** What is played for a seed. */
+  interface SeededTest {
+    void play(long seed) throws Exception;
+  }
+}
--- a/src/test/java/io/pearscale/sim/DrainRunsTest.java
+++ b/src/test/java/io/pearscale/sim/DrainRunsTest.java
@@ -4,12 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.pearscale.drain.DisruptionBudget;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
 
 /**
  * Drains amid failures. The world's checker reads what the workers did, not the ledger: what is
@@ -19,8 +21,6 @@
   private static final int RUNS = Integer.getInteger("pearscale.drainRuns", 12);
   private static final long FIRST = Long.getLong("pearscale.firstSeed", 1);
   private static final int TRANSACTIONS = Integer.getInteger("pearscale.drainSteps", 10);
-  private static final List<String> TROUBLES =
-      List.of("crash-before", "crash-after", "crash-late", "freeze");
 
   /** Of one priority, so that nothing is evicted and each stop is a choice. */
   private static final String SMALL =
@@ -91,38 +91,28 @@
     return s.toString();
   }
 
-  @Test
-  void aSteppedReplacementKeepsTheBudgets() {
-    List<String> bad = new ArrayList<>();
-    for (long seed = FIRST; seed < FIRST + RUNS; seed++) {
-      Scenario scenario = Scenario.of(replacement(seed), seed);
-      List<String> failures = scenario.run();
-      if (!failures.isEmpty()) {
-        bad.add("seed " + seed + ":\n" + String.join("\n", failures));
-      }
-      assertTrue(scenario.world().disruptions.stops() >= 50, "hardly anything was stopped");
-    }
-    assertTrue(bad.isEmpty(), String.join("\n\n", bad));
+  @TestFactory
+  Stream<DynamicTest> aSteppedReplacementKeepsTheBudgets() {
+    return Days.each(
+        Days.seeds(FIRST, RUNS),
+        seed -> {
+          Scenario scenario = Scenario.of(replacement(seed), seed);
+          List<String> failures = scenario.run();
+          assertTrue(failures.isEmpty(), "seed " + seed + ":\n" + String.join("\n", failures));
+          assertTrue(scenario.world().disruptions.stops() >= 50, "hardly anything was stopped");
+        });
   }
 
-  @Test
-  void theLeaderMeetsATroubleAtEachStep() {
-    List<String> bad = new ArrayList<>();
-    for (String trouble : TROUBLES) {
-      for (int number = 1; number <= TRANSACTIONS; number++) {
-        String day =
+  @TestFactory
+  Stream<DynamicTest> theLeaderMeetsATroubleAtEachStep() {
+    return Steps.each(
+        TRANSACTIONS,
+        (trouble, number) ->
             SMALL
                 + "at 20 drain d1 zone=a at-once=2\n"
                 + "at 20.001 at-commit %d %s\n".formatted(number, trouble)
                 + "until 300\nexpect drain d1 drained\nexpect wk-1 present 10\n"
-                + "expect wk-2 stage done\n";
-        List<String> failures = Scenario.play(day, number);
-        if (!failures.isEmpty()) {
-          bad.add(trouble + " at " + number + ":\n" + String.join("\n", failures));
-        }
-      }
-    }
-    assertTrue(bad.isEmpty(), String.join("\n\n", bad));
+                + "expect wk-2 stage done\n");
   }
 
   /** The checker is told of a smaller budget than the controllers, and must find them over it. */
--- a/src/test/java/io/pearscale/sim/RandomRunsTest.java
+++ b/src/test/java/io/pearscale/sim/RandomRunsTest.java
@@ -1,14 +1,12 @@
 package io.pearscale.sim;
 
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.LongFunction;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
-import java.util.stream.LongStream;
-import org.junit.jupiter.api.Test;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
 
 /**
  * Days with random jobs and troubles from fixed seeds. The world checks the rules after each event;
@@ -18,53 +16,36 @@
   private static final int RUNS = Integer.getInteger("pearscale.randomRuns", 120);
   private static final long FIRST = Long.getLong("pearscale.firstSeed", 1);
 
-  /** After so many days on which something went wrong, the rest is not played. */
-  private static final int ENOUGH = 3;
-
   /** Days on which a write decided before a switch went out after it with the new level's stamp. */
   private static final List<Long> FAILED_ONCE = List.of(5097L, 5123L, 5447L);
 
   private static List<Long> seeds(int runs) {
-    return LongStream.range(FIRST, FIRST + runs).boxed().toList();
-  }
-
-  private static void play(List<Long> seeds, LongFunction<String> dayOf) {
-    List<String> bad = new ArrayList<>();
-    for (long seed : seeds) {
-      List<String> failures = Scenario.play(dayOf.apply(seed), seed);
-      if (!failures.isEmpty()) {
-        bad.add("seed " + seed + ":\n" + String.join("\n", failures));
-      }
-      if (bad.size() >= ENOUGH) {
-        break;
-      }
-    }
-    assertTrue(bad.isEmpty(), String.join("\n\n", bad));
+    return Days.seeds(FIRST, runs);
   }
 
-  @Test
-  void rulesHoldAndWorkComesRight() {
-    play(seeds(RUNS), RandomRunsTest::day);
+  @TestFactory
+  Stream<DynamicTest> rulesHoldAndWorkComesRight() {
+    return Days.nothingFails(seeds(RUNS), RandomRunsTest::day);
   }
 
   /**
    * The same days while controllers of two builds run side by side and the level of stored forms is
    * raised at some time: one controller has the old build, and stays out from then on.
    */
-  @Test
-  void mixedBuildsServeThroughASwitchOfTheLevel() {
+  @TestFactory
+  Stream<DynamicTest> mixedBuildsServeThroughASwitchOfTheLevel() {
     List<Long> seeds = new ArrayList<>(FAILED_ONCE);
     seeds.addAll(seeds(RUNS / 2));
-    play(seeds, seed -> withMixedBuilds(day(seed), seed));
+    return Days.nothingFails(seeds, seed -> withMixedBuilds(day(seed), seed));
   }
 
   /**
    * The same days while the level is raised, taken back and raised again at random times, with one
    * controller of the old build on every third day. At the end level 0 is in force everywhere.
    */
-  @Test
-  void stepsAreTakenAndTakenBackOnRandomDays() {
-    play(seeds(RUNS / 2), seed -> withSteps(day(seed), seed));
+  @TestFactory
+  Stream<DynamicTest> stepsAreTakenAndTakenBackOnRandomDays() {
+    return Days.nothingFails(seeds(RUNS / 2), seed -> withSteps(day(seed), seed));
   }
 
   /**
@@ -72,9 +53,9 @@
    * drains are paused and cancelled. Work is evicted on these days, so the rules and the ends of
    * all jobs are checked, and budgets are left to {@link DrainRunsTest}.
    */
-  @Test
-  void drainsOnRandomDays() {
-    play(seeds(RUNS / 2), seed -> withDrains(day(seed), seed));
+  @TestFactory
+  Stream<DynamicTest> drainsOnRandomDays() {
+    return Days.nothingFails(seeds(RUNS / 2), seed -> withDrains(day(seed), seed));
   }
 
   private static String withDrains(String day, long seed) {
--- a/src/test/java/io/pearscale/sim/ScenarioTest.java
+++ b/src/test/java/io/pearscale/sim/ScenarioTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
@@ -14,6 +15,7 @@
 /** Plays each scenario under {@code src/test/resources/scenarios} with a few seeds. */
 class ScenarioTest {
   private static final Path FOLDER = Path.of("src/test/resources/scenarios");
+  private static final int SEEDS = 3;
 
   @TestFactory
   Stream<DynamicTest> scenarios() throws IOException {
@@ -23,15 +25,19 @@
     }
     assertFalse(files.isEmpty(), "no scenarios found");
     return files.stream()
-        .map(p -> DynamicTest.dynamicTest(p.getFileName().toString(), () -> play(p)));
+        .flatMap(
+            file ->
+                LongStream.rangeClosed(1, SEEDS)
+                    .mapToObj(
+                        seed ->
+                            DynamicTest.dynamicTest(
+                                file.getFileName() + " seed " + seed, () -> play(file, seed))));
   }
 
-  private static void play(Path file) throws IOException {
+  private static void play(Path file, long seed) throws IOException {
     String text = Files.readString(file);
     assertTrue(text.contains("expect "), "a scenario without expectations");
-    for (long seed = 1; seed <= 3; seed++) {
-      List<String> failures = Scenario.play(text, seed);
-      assertTrue(failures.isEmpty(), "seed " + seed + ":\n" + String.join("\n", failures));
-    }
+    List<String> failures = Scenario.play(text, seed);
+    assertTrue(failures.isEmpty(), "seed " + seed + ":\n" + String.join("\n", failures));
   }
 }
--- a/src/test/java/io/pearscale/sim/UpgradeStepsTest.java
+++ b/src/test/java/io/pearscale/sim/UpgradeStepsTest.java
@@ -4,9 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
 
 /**
  * Raises the level and takes it back, and has the leader meet a trouble at each of the transactions
@@ -15,9 +17,6 @@
  */
 class UpgradeStepsTest {
   private static final int TRANSACTIONS = Integer.getInteger("pearscale.upgradeSteps", 12);
-  private static final List<String> TROUBLES =
-      List.of("crash-before", "crash-after", "crash-late", "freeze");
-
   private static final String DAY =
       """
       nodes 3
@@ -92,19 +91,13 @@
         });
   }
 
-  @Test
-  void theLeaderMeetsATroubleAtEachStep() {
-    List<String> bad = new ArrayList<>();
-    for (String trouble : TROUBLES) {
-      for (int number = 1; number <= TRANSACTIONS; number++) {
-        String up = "at 20.001 at-commit %d %s".formatted(number, trouble);
-        String down = "at 70.001 at-commit %d %s".formatted(number, trouble);
-        List<String> failures = Scenario.play(DAY.formatted(up, down), number);
-        if (!failures.isEmpty()) {
-          bad.add(trouble + " at " + number + ":\n" + String.join("\n", failures));
-        }
-      }
-    }
-    assertTrue(bad.isEmpty(), String.join("\n\n", bad));
+  @TestFactory
+  Stream<DynamicTest> theLeaderMeetsATroubleAtEachStep() {
+    return Steps.each(
+        TRANSACTIONS,
+        (trouble, number) ->
+            DAY.formatted(
+                "at 20.001 at-commit %d %s".formatted(number, trouble),
+                "at 70.001 at-commit %d %s".formatted(number, trouble)));
   }
 }
