Print only the build's own list of known red tests

Cause: the tests of the check printed their samples' lists into the build's log.

Change: the check prints to the stream that it is given; its tests look at what it prints.

--- a/src/test/java/io/pearscale/knownred/KnownRedCheck.java
+++ b/src/test/java/io/pearscale/knownred/KnownRedCheck.java
@@ -2,6 +2,7 @@
 
 import io.pearscale.knownred.KnownRedResults.Result;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,14 +17,14 @@
 
   /** Checks the list of this project against what its tests have noted. */
   public static void main(String[] arguments) throws IOException {
-    check(KnownRedList.FILE, KnownRedResults.FILE);
+    check(KnownRedList.FILE, KnownRedResults.FILE, System.out);
   }
 
   /** Prints what became of the listed tests; an exception says why the list is not true. */
-  static void check(Path listFile, Path resultsFile) throws IOException {
+  static void check(Path listFile, Path resultsFile, PrintStream out) throws IOException {
     KnownRedList list = KnownRedList.read(listFile);
     Map<String, Result> results = KnownRedResults.read(resultsFile);
-    report(list, results).forEach(System.out::println);
+    report(list, results).forEach(out::println);
     List<String> problems = problems(list, results);
     if (!problems.isEmpty()) {
       throw new IllegalStateException(String.join("; ", problems));
@@ -31,7 +32,7 @@
   }
 
   /** A line for each listed test. */
-  static List<String> report(KnownRedList list, Map<String, Result> results) {
+  private static List<String> report(KnownRedList list, Map<String, Result> results) {
     List<String> lines = new ArrayList<>();
     lines.add("tests known to be red: " + list.entries().size());
     for (KnownRedList.Entry entry : list.entries()) {
@@ -44,7 +45,7 @@
   }
 
   /** Why the list is not true; empty when it is. */
-  static List<String> problems(KnownRedList list, Map<String, Result> results) {
+  private static List<String> problems(KnownRedList list, Map<String, Result> results) {
     List<String> problems = new ArrayList<>();
     for (KnownRedList.Entry entry : list.entries()) {
       Result result = results.get(entry.test());
--- a/src/test/java/io/pearscale/knownred/KnownRedTest.java
+++ b/src/test/java/io/pearscale/knownred/KnownRedTest.java
@@ -2,11 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.platform.engine.discovery.DiscoverySelectors.selectClass;
 
 import io.pearscale.knownred.KnownRedResults.Result;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -64,9 +65,14 @@
         .execute();
   }
 
+  private String printedByCheck() throws IOException {
+    ByteArrayOutputStream printed = new ByteArrayOutputStream();
+    KnownRedCheck.check(list(), results(), new PrintStream(printed, true));
+    return printed.toString();
+  }
+
   private void assertFinds(String problems) {
-    IllegalStateException found =
-        assertThrows(IllegalStateException.class, () -> KnownRedCheck.check(list(), results()));
+    IllegalStateException found = assertThrows(IllegalStateException.class, this::printedByCheck);
     assertEquals(problems, found.getMessage());
   }
 
@@ -85,10 +91,12 @@
     assertEquals(
         Map.of(SAMPLE + "red", Result.FAILED, SAMPLE + "seeds[seed 2]", Result.FAILED),
         KnownRedResults.read(results()));
-    KnownRedCheck.check(list(), results());
-    assertTrue(
-        KnownRedCheck.report(KnownRedList.read(list()), KnownRedResults.read(results()))
-            .contains("known red: FAILED " + SAMPLE + "red (issue 1): it fails"));
+    assertEquals(
+        List.of(
+            "tests known to be red: 2",
+            "known red: FAILED " + SAMPLE + "red (issue 1): it fails",
+            "known red: FAILED " + SAMPLE + "seeds[seed 2] (issue 1): it fails"),
+        printedByCheck().lines().toList());
   }
 
   @Test
