Count the lease of each session from the message that shows it

Cause: Machine.session said two things, the session last seen and the least one that may be believed. A machine whose lease had run out was given the number of the next session. When its first message came out of that session, as the answer to a question that had been under way, it did not look like a new one: its lease was not counted, what was started there was taken for gone at the next check, and it was started elsewhere. The machine, noted as lost once more, then had to reach a further session before its reports were answered.

Change: SessionLease holds the two facts apart. Only a message makes a session a shown one, and that counts its lease; what a record or a proof of absence says is a bound for what may be believed. So no session can be known whose lease is not counted. A session that a stored record names counts from its first message too: a record may hold such a number from before.

Ruled out: one more condition beside the increment (leaves the field with two meanings); no starts until a report came (slower, and the lease would still be wrong for what runs).

--- a/src/main/java/io/pearscale/scheduler/CommandDispatcher.java
+++ b/src/main/java/io/pearscale/scheduler/CommandDispatcher.java
@@ -148,7 +148,7 @@
       boolean seemsLost = p.stage == Stage.SENT && !p.confirmed && !p.stopping && !m.calling;
       if (seemsLost && leadership.mayStart()) {
         p.token = m.token;
-        p.session = m.session;
+        p.session = m.lease.session();
         orders.add(Order.run(p.task, p.attempt));
       }
     }
@@ -202,7 +202,7 @@
       room.take(p.job);
       p.stage = Stage.SENT;
       p.token = m.token;
-      p.session = m.session;
+      p.session = m.lease.session();
       orders.add(Order.run(p.task, p.attempt));
     }
     return orders;
@@ -299,7 +299,7 @@
     Call call = new Call(m, m.token, orders);
     m.calling = true;
     probing += call.isProbe() ? 1 : 0;
-    ObjectNode body = MessagePack.map().put("baton", m.token).put("stint", m.session);
+    ObjectNode body = MessagePack.map().put("baton", m.token).put("stint", m.lease.session());
     var list = body.putArray("orders");
     orders.forEach(o -> list.add(o.toNode()));
     Duration timeout = call.isProbe() ? PROBE_TIMEOUT : COMMAND_TIMEOUT;
@@ -360,7 +360,7 @@
         notExecuted(call);
       }
       boolean wasSettled = m.settled;
-      if (r.newerThan(m.session, m.sequence)) {
+      if (m.lease.isNews(r)) {
         reports.absorb(m, r, true);
         m.answersSince = m.answersSince.or(() -> Optional.of(clock.instant()));
       }
--- a/src/main/java/io/pearscale/scheduler/LeaderRecovery.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderRecovery.java
@@ -129,7 +129,7 @@
     m.maintenance = e.maintenance();
     m.recordedMaintenance = e.maintenance();
     m.everReported = seen;
-    m.session = e.session();
+    m.lease.recorded(e.session());
     inventory.addFormer(m);
     records.adoptMachine(m, e, value);
     return m;
@@ -182,7 +182,7 @@
   void formerLeadersEnded() {
     if (leadership.formerLeadersEnded()) {
       Instant now = clock.instant();
-      inventory.all().stream().filter(m -> m.renewed.isAfter(now)).forEach(m -> m.renewed = now);
+      inventory.all().forEach(machine -> machine.lease.formerLeadersEnded(now));
       LOG.info(
           "event=former_leaders_over term={} after_ms={}",
           leadership.term(),
--- a/src/main/java/io/pearscale/scheduler/Machine.java
+++ b/src/main/java/io/pearscale/scheduler/Machine.java
@@ -46,8 +46,8 @@
   String address;
   Instant rented;
 
-  long session;
-  long sequence;
+  /** Its sessions, and until when anything in them can be alive. */
+  final SessionLease lease = new SessionLease();
 
   /** Highest token that a report has shown, and the one that we command with. */
   long seenToken;
@@ -70,7 +70,7 @@
   /** Whether a report has shown a token of this term: from then on reports tell all. */
   boolean settled;
 
-  /** Nothing can be alive here: the lease ran out, and it has not reported since. */
+  /** Nothing can be alive here: the lease ran out, and it has shown no sign of life since. */
   boolean lost;
 
   /** Whether the roster durably names the machine, and as what. */
@@ -95,9 +95,6 @@
   /** When it first answered a command since its last report; only reports renew its lease. */
   Optional<Instant> answersSince = Optional.empty();
 
-  /** The lease ends at the latest when this, plus a lease, has passed. */
-  Instant renewed;
-
   boolean everReported;
   boolean calling;
 
@@ -137,14 +134,21 @@
     this.type = type;
     this.life = life;
     this.rented = now;
-    this.renewed = Instant.MIN;
     this.address = "";
   }
 
   /** What the roster is to say of the machine, at that place. */
   Roster.Entry rosterEntry(int place) {
     return new Roster.Entry(
-        place, name, address, type.name(), zone, spot, session, life == Life.RETIRING, maintenance);
+        place,
+        name,
+        address,
+        type.name(),
+        zone,
+        spot,
+        lease.session(),
+        life == Life.RETIRING,
+        maintenance);
   }
 
   /** A task failed here. */
--- a/src/main/java/io/pearscale/scheduler/MachineHealth.java
+++ b/src/main/java/io/pearscale/scheduler/MachineHealth.java
@@ -89,7 +89,7 @@
         && m.takenAt.isEmpty()
         && m.answersSince.isEmpty()
         && now.isBefore(m.heard.plus(times.reportDue()))
-        && now.isBefore(m.renewed.plus(times.lease()));
+        && m.lease.isHeld(now, times.lease());
   }
 
   /** A round over the machines begins: how many are silent is counted anew. */
@@ -116,10 +116,7 @@
 
   /** Whether it was silent for longer than any lease that was ever renewed lasts. */
   private boolean isLost(Machine m, Instant now) {
-    return m.everReported
-        && !m.lost
-        && !m.renewed.equals(Instant.MIN)
-        && now.isAfter(m.renewed.plus(times.leaseOver()));
+    return m.everReported && !m.lost && m.lease.isOver(now, times.leaseOver());
   }
 
   /** Nothing can be alive on the machine. */
@@ -128,8 +125,7 @@
     // Its worker has gone on to another session, and has to show that, with our token: reports of
     // this one that a cut had held back say only what was.
     m.settled = false;
-    m.session++;
-    m.sequence = -1;
+    m.lease.end();
     m.ended.clear();
     m.foreign.clear();
     int dropped = m.placements.size();
--- a/src/main/java/io/pearscale/scheduler/MachineInventory.java
+++ b/src/main/java/io/pearscale/scheduler/MachineInventory.java
@@ -106,7 +106,7 @@
    */
   void addFormer(Machine machine) {
     add(machine);
-    machine.renewed = leadership.formerLeadersUntil();
+    machine.lease.formerLeadersRenewUntil(leadership.formerLeadersUntil());
   }
 
   /** The cloud says that the machine, and all that was on it, is gone. */
--- a/src/main/java/io/pearscale/scheduler/ReportHandler.java
+++ b/src/main/java/io/pearscale/scheduler/ReportHandler.java
@@ -57,13 +57,13 @@
       return ReportAnswer.UNAVAILABLE;
     }
     Machine m = machineOf(r);
-    if (m == null || !r.newerThan(m.session, m.sequence)) {
+    if (m == null || !m.lease.isNews(r)) {
       LOG.debug("event=report_dropped machine={}", r.machine());
       return ReportAnswer.UNAVAILABLE;
     }
     reports.absorb(m, r, gotLastAnswer(m, r, via));
     m.answersSince = Optional.empty();
-    m.renewed = clock.instant();
+    m.lease.answered(clock.instant());
     m.via = via;
     List<Order> orders = ordersInAnswer(m, r);
     dispatcher.sendDue(m);
--- a/src/main/java/io/pearscale/scheduler/ReportProcessor.java
+++ b/src/main/java/io/pearscale/scheduler/ReportProcessor.java
@@ -89,13 +89,7 @@
   /** Takes in what a report says of the machine itself, whatever term it has heard of. */
   private void noteReported(Machine m, Report r) {
     Instant now = clock.instant();
-    if (r.session() > m.session && now.isAfter(m.renewed)) {
-      // A session's lease runs from when it began, without any answer: what is started in it by
-      // direct commands may live as long as if the last report had been answered now.
-      m.renewed = now;
-    }
-    m.session = r.session();
-    m.sequence = r.sequence();
+    m.lease.shown(r, now);
     m.seenToken = Math.max(m.seenToken, r.token());
     m.address = r.address();
     if (m.life == Life.BOOTING) {
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/SessionRunsTest.java
@@ -0,0 +1,24 @@
+package io.pearscale.sim;
+
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/** Days on which many machines begin new sessions: no task may be in two places. */
+class SessionRunsTest {
+  private static final int RUNS = Integer.getInteger("pearscale.sessionRuns", 250);
+  private static final int MACHINES = Integer.getInteger("pearscale.sessionMachines", 60);
+  private static final long FIRST = Long.getLong("pearscale.firstSeed", 1);
+  private static final int SIZE = Integer.getInteger("pearscale.sessionSize", 300);
+  private static final int RUNS_AT_SIZE = Integer.getInteger("pearscale.sessionRunsAtSize", 2);
+
+  @TestFactory
+  Stream<DynamicTest> noTaskRunsTwice() {
+    return Days.rulesHold(Days.seeds(FIRST, RUNS), seed -> SessionDays.day(seed, MACHINES));
+  }
+
+  @TestFactory
+  Stream<DynamicTest> noTaskRunsTwiceAtSize() {
+    return Days.rulesHold(Days.seeds(FIRST, RUNS_AT_SIZE), seed -> SessionDays.day(seed, SIZE));
+  }
+}
