Say in the log what starts, sessions and proofs of absence rest on

Cause: the records of the incident held no line of the leader on the machine that was noted as lost and came back in another session; that its lease was not counted could be told from the workers' calls alone.

Change: each removal of a task names its proof (AbsenceProof). DecisionLog writes what it rested on: session, sequence and token shown, what the lease was last counted from and how long ago, the bound. Losses and sessions that were not expected at info, starts and single proofs at debug, their counts once a minute with the figures.

--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/AbsenceProof.java
@@ -0,0 +1,19 @@
+package io.pearscale.scheduler;
+
+/** Why a task is known not to be on a machine, nor to come there by a command that is late. */
+enum AbsenceProof {
+  /** It was decided, but no command was sent. */
+  NOT_SENT,
+  /** The worker refused the command that would have started it. */
+  NOT_EXECUTED,
+  /** A message of the machine shows that the attempt has ended. */
+  ENDED,
+  /** A message lacks it, and it was there before or the machine has seen a higher token. */
+  NOT_REPORTED,
+  /** A message of a later session than the start's lacks it. */
+  LATER_SESSION,
+  /** The machine's lease is over. */
+  LEASE_OVER,
+  /** The cloud has deleted the machine. */
+  MACHINE_DELETED
+}
--- a/src/main/java/io/pearscale/scheduler/CommandDispatcher.java
+++ b/src/main/java/io/pearscale/scheduler/CommandDispatcher.java
@@ -6,6 +6,7 @@
 import io.pearscale.protocol.Order;
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.Settings;
+import io.pearscale.scheduler.DecisionLog.Carrier;
 import io.pearscale.scheduler.Machine.Ended;
 import io.pearscale.scheduler.Machine.Life;
 import io.pearscale.scheduler.Placement.Stage;
@@ -69,6 +70,7 @@
   private final TermExecutor executor;
   private final LongConsumer higherTerm;
   private final ReportProcessor reports;
+  private final DecisionLog decisions;
 
   /** Machines of the roster that were not asked since the takeover. */
   private final ArrayDeque<Machine> unprobed = new ArrayDeque<>();
@@ -97,6 +99,7 @@
     this.jobs = state.jobs();
     this.inventory = state.inventory();
     this.clock = state.clock();
+    this.decisions = state.decisions();
     this.settings = settings;
     this.times = times;
     this.calls = calls;
@@ -126,7 +129,9 @@
 
   /** All that goes with the answer to a report of the machine. */
   List<Order> ordersInAnswer(Machine m) {
-    return ordersDue(m, true);
+    List<Order> orders = ordersDue(m, true);
+    decisions.sending(m, orders, Carrier.ANSWER);
+    return orders;
   }
 
   /** All that the worker has to be told now. */
@@ -233,6 +238,7 @@
     }
     List<Order> orders = ordersDue(m, false);
     if (!orders.isEmpty()) {
+      decisions.sending(m, orders, Carrier.COMMAND);
       send(m, orders);
     }
   }
@@ -396,7 +402,7 @@
 
   private void startNotExecuted(Placement p) {
     if (p.stopping) {
-      inventory.remove(p);
+      inventory.remove(p, AbsenceProof.NOT_EXECUTED);
     } else {
       p.stage = Stage.PLANNED;
       inventory.noteCommandDue(p.machine);
--- a/src/main/java/io/pearscale/scheduler/LeaderComponents.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderComponents.java
@@ -48,9 +48,12 @@
     leadership = new Leadership(clock, settings.hold());
     records = new LeaderRecords(settings.stateLimits(), env.level(), clock, this::requestCommit);
     jobs = new JobTable(teams, leadership, clock, env.timeOfDay(), classes::note, requestPass);
+    DecisionLog decisions = new DecisionLog(leadership, clock);
     inventory =
-        new MachineInventory(catalogue, teams, leadership, jobs, records, clock, requestPass);
-    LeaderState shared = new LeaderState(leadership, jobs, inventory, records, clock, requestPass);
+        new MachineInventory(
+            catalogue, teams, leadership, jobs, records, clock, requestPass, decisions);
+    LeaderState shared =
+        new LeaderState(leadership, jobs, inventory, records, clock, requestPass, decisions);
     statistics = new LeaderStatistics(shared);
     ReportProcessor processor = new ReportProcessor(shared, new FailureJudge(shared), statistics);
     dispatcher =
--- a/src/main/java/io/pearscale/scheduler/LeaderRecovery.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderRecovery.java
@@ -57,9 +57,10 @@
   /**
    * Takes over what is stored.
    *
+   * @param epoch the revision up to which all changes of the keys are known
    * @return whether that could be done; if not, this controller is unfit to lead
    */
-  boolean takeOver() {
+  boolean takeOver(long epoch) {
     Optional<StoredRecords> stored = storedRecords();
     if (stored.isEmpty()) {
       return false;
@@ -71,8 +72,12 @@
     jobs.all().forEach(jobs::requeue);
     dispatcher.probeFormerMachines();
     LOG.info(
-        "event=takeover term={} jobs={} roster={} unseen_tasks={} out_of_service={}",
+        "event=takeover term={} token={} revision={} term_revision={} jobs={} roster={}"
+            + " unseen_tasks={} out_of_service={}",
         leadership.term(),
+        leadership.firstToken(),
+        epoch,
+        leadership.termStamp(),
         jobs.size(),
         inventory.size(),
         jobs.all().stream().mapToInt(job -> job.placed.size()).sum(),
--- a/src/main/java/io/pearscale/scheduler/LeaderState.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderState.java
@@ -7,6 +7,7 @@
  * methods.
  *
  * @param requestPass asks for a pass over the jobs that wait
+ * @param decisions is told what starts and proofs rest on
  */
 record LeaderState(
     Leadership leadership,
@@ -14,4 +15,5 @@
     MachineInventory inventory,
     LeaderRecords records,
     InstantSource clock,
-    Runnable requestPass) {}
+    Runnable requestPass,
+    DecisionLog decisions) {}
--- a/src/main/java/io/pearscale/scheduler/LeaderStatistics.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderStatistics.java
@@ -20,6 +20,7 @@
   private final Leadership leadership;
   private final JobTable jobs;
   private final MachineInventory inventory;
+  private final DecisionLog decisions;
   private final Histogram startMillis = new Histogram(3);
   private final Histogram passMicros = new Histogram(3);
   private Instant next = Instant.MIN;
@@ -28,6 +29,7 @@
     this.leadership = state.leadership();
     this.jobs = state.jobs();
     this.inventory = state.inventory();
+    this.decisions = state.decisions();
   }
 
   /** A task runs, so long after its start was decided. */
@@ -73,7 +75,7 @@
     LOG.info(
         "event=figures term={} jobs={} waiting_tasks={} machines={} usable={} faulty={} avoided={}"
             + " free_cpus={} stages={} stopping={} start_ms_p50={} start_ms_p99={} pass_us_p50={}"
-            + " pass_us_p99={}",
+            + " pass_us_p99={} {}",
         leadership.term(),
         jobs.size(),
         jobs.all().stream().mapToInt(Job::pending).sum(),
@@ -87,6 +89,7 @@
         startMillis.getValueAtPercentile(50),
         startMillis.getValueAtPercentile(99),
         passMicros.getValueAtPercentile(50),
-        passMicros.getValueAtPercentile(99));
+        passMicros.getValueAtPercentile(99),
+        decisions.takeCounts());
   }
 }
--- a/src/main/java/io/pearscale/scheduler/MachineHealth.java
+++ b/src/main/java/io/pearscale/scheduler/MachineHealth.java
@@ -6,19 +6,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Looks after machines one by one: finds those that are silent, that hear nothing, that do not
  * report, that fail what they start or that never came up.
  */
 final class MachineHealth {
-  private static final Logger LOG = LoggerFactory.getLogger(MachineHealth.class);
-
   /**
    * A cut-off zone is waited for so many leases, since its machines come back with their images.
    */
@@ -46,6 +41,7 @@
   private final WorkerTimes times;
   private final CommandDispatcher dispatcher;
   private final MachineRetirement retirement;
+  private final DecisionLog decisions;
   private Optional<Silence> silence = Optional.empty();
 
   MachineHealth(
@@ -60,6 +56,7 @@
     this.times = times;
     this.dispatcher = dispatcher;
     this.retirement = retirement;
+    this.decisions = state.decisions();
   }
 
   /** Whether tasks may be placed on the machine. */
@@ -122,19 +119,18 @@
   /** Nothing can be alive on the machine. */
   private void noteLost(Machine m) {
     m.lost = true;
+    decisions.lost(m, m.placements.size(), times.leaseOver());
     // Its worker has gone on to another session, and has to show that, with our token: reports of
     // this one that a cut had held back say only what was.
     m.settled = false;
-    m.lease.end();
     m.ended.clear();
     m.foreign.clear();
-    int dropped = m.placements.size();
-    List.copyOf(m.placements.values()).forEach(inventory::remove);
+    inventory.removeAll(m, AbsenceProof.LEASE_OVER);
+    m.lease.end();
     if (m.life == Life.UP && m.maintenance.isNone()) {
       // A successor need not wait for it again. Before its next start it is recorded anew.
       records.removeMachine(m);
     }
-    LOG.warn("event=machine_lost term={} machine={} tasks={}", leadership.term(), m.name, dropped);
   }
 
   private void probeIfSilent(Machine m, Instant now) {
--- a/src/main/java/io/pearscale/scheduler/MachineInventory.java
+++ b/src/main/java/io/pearscale/scheduler/MachineInventory.java
@@ -20,9 +20,8 @@
  * The machines that a leader knows, and which tasks may be on each of them.
  *
  * <p>The rule that it serves: a task is taken to be on a machine from before its start command is
- * sent until one of four proofs says that it is gone: a report that has seen a token above the
- * command's, a later session, the cloud's answer to a deletion, or silence that outlasts any lease.
- * Whoever calls {@link #remove} has such a proof.
+ * sent until one of the proofs of {@link AbsenceProof} says that it is gone. Whoever calls {@link
+ * #remove} has that proof.
  */
 final class MachineInventory {
   private final MachineCatalogue catalogue;
@@ -32,6 +31,7 @@
   private final LeaderRecords records;
   private final InstantSource clock;
   private final Runnable requestPass;
+  private final DecisionLog decisions;
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final Collection<Machine> all = Collections.unmodifiableCollection(machines.values());
   private final RemovedMachines removed = new RemovedMachines();
@@ -46,7 +46,8 @@
       JobTable jobs,
       LeaderRecords records,
       InstantSource clock,
-      Runnable requestPass) {
+      Runnable requestPass,
+      DecisionLog decisions) {
     this.catalogue = catalogue;
     this.teams = teams;
     this.leadership = leadership;
@@ -54,6 +55,7 @@
     this.records = records;
     this.clock = clock;
     this.requestPass = requestPass;
+    this.decisions = decisions;
   }
 
   /** The machine types that are known. */
@@ -116,7 +118,7 @@
     if (machine == null) {
       return;
     }
-    List.copyOf(machine.placements.values()).forEach(this::remove);
+    removeAll(machine, AbsenceProof.MACHINE_DELETED);
     records.removeMachine(machine);
     requestPass.run();
   }
@@ -144,9 +146,15 @@
     removedListener = listener;
   }
 
+  /** It is proven that none of the machine's tasks is there any more. */
+  void removeAll(Machine machine, AbsenceProof proof) {
+    List.copyOf(machine.placements.values()).forEach(placement -> remove(placement, proof));
+  }
+
   /** It is proven that the task is not on the machine. */
-  void remove(Placement placement) {
+  void remove(Placement placement, AbsenceProof proof) {
     Job job = placement.job;
+    decisions.gone(placement, proof);
     removedListener.accept(placement);
     placement.machine.remove(placement);
     job.remove(placement);
@@ -163,7 +171,7 @@
   /** Decides that a task must go from where it is. */
   void stop(Placement placement) {
     if (placement.stage == Stage.PLANNED) {
-      remove(placement);
+      remove(placement, AbsenceProof.NOT_SENT);
       return;
     }
     if (placement.stopping) {
@@ -182,7 +190,7 @@
   void withdrawPlanned(Machine machine) {
     for (Placement placement : List.copyOf(machine.placements.values())) {
       if (placement.stage == Stage.PLANNED) {
-        remove(placement);
+        remove(placement, AbsenceProof.NOT_SENT);
       }
     }
   }
--- a/src/main/java/io/pearscale/scheduler/ReportProcessor.java
+++ b/src/main/java/io/pearscale/scheduler/ReportProcessor.java
@@ -36,6 +36,7 @@
   private final Runnable requestPass;
   private final FailureJudge failures;
   private final LeaderStatistics statistics;
+  private final DecisionLog decisions;
 
   ReportProcessor(LeaderState state, FailureJudge failures, LeaderStatistics statistics) {
     this.leadership = state.leadership();
@@ -46,6 +47,7 @@
     this.requestPass = state.requestPass();
     this.failures = failures;
     this.statistics = statistics;
+    this.decisions = state.decisions();
   }
 
   /**
@@ -89,7 +91,7 @@
   /** Takes in what a report says of the machine itself, whatever term it has heard of. */
   private void noteReported(Machine m, Report r) {
     Instant now = clock.instant();
-    m.lease.shown(r, now);
+    noteSession(m, r, now);
     m.seenToken = Math.max(m.seenToken, r.token());
     m.address = r.address();
     if (m.life == Life.BOOTING) {
@@ -112,6 +114,15 @@
     }
   }
 
+  /** Takes in the session; one that was not expected is worth a line in the log. */
+  private void noteSession(Machine m, Report r, Instant now) {
+    long former = m.lease.session();
+    boolean isNew = m.lease.shown(r, now);
+    if (isNew && (m.lost || (former > 0 && r.session() > former))) {
+      decisions.sessionBegan(m, r, former);
+    }
+  }
+
   /** Notes that a machine lives, and for how long it will. */
   private void noteAlive(Machine m, Report r, boolean received) {
     Instant now = clock.instant();
@@ -156,7 +167,7 @@
     long started = t.cause().equals("done") ? -1 : placement.map(p -> p.token).orElse(m.token);
     Ended key = new Ended(t.task(), t.attempt());
     m.ended.put(key, oldEnded.getOrDefault(key, started));
-    placement.ifPresent(inventory::remove);
+    placement.ifPresent(p -> inventory.remove(p, AbsenceProof.ENDED));
     ended(m, jobOf(t).orElse(null), t, placement.orElse(null));
   }
 
@@ -180,7 +191,7 @@
   private Optional<Placement> adopt(Job job, Machine m, Report r, TaskReport t) {
     Placement other = job.placed.get(t.task().index());
     if (other != null && other.stage == Stage.PLANNED) {
-      inventory.remove(other);
+      inventory.remove(other, AbsenceProof.NOT_SENT);
       other = null;
     }
     if (other != null) {
@@ -199,10 +210,13 @@
   /** What is not in the report is gone only if no command for it can still be on its way. */
   private void removeUnseen(Machine m, Report r, Set<Placement> seen) {
     for (Placement p : List.copyOf(m.placements.values())) {
-      if (p.stage != Stage.PLANNED
-          && !seen.contains(p)
-          && (p.confirmed || p.session < r.session() || p.token < r.token())) {
-        inventory.remove(p);
+      if (p.stage == Stage.PLANNED || seen.contains(p)) {
+        continue;
+      }
+      if (p.session < r.session()) {
+        inventory.remove(p, AbsenceProof.LATER_SESSION);
+      } else if (p.confirmed || p.token < r.token()) {
+        inventory.remove(p, AbsenceProof.NOT_REPORTED);
       }
     }
   }
--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -278,7 +278,7 @@
    */
   private void takeOverWhenPossible() {
     boolean possible = leadership.leading() && loaded && epoch >= leadership.termStamp();
-    if (possible && !leadership.ready() && parts.recovery.takeOver()) {
+    if (possible && !leadership.ready() && parts.recovery.takeOver(epoch)) {
       parts.drains.ifPresent(DrainCoordinator::begin);
       parts.passes.request();
     }
--- /dev/null
+++ b/src/test/java/io/pearscale/scheduler/DecisionLogTest.java
@@ -0,0 +1,42 @@
+package io.pearscale.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.pearscale.protocol.MachineType;
+import io.pearscale.protocol.Order;
+import io.pearscale.protocol.TaskId;
+import io.pearscale.scheduler.DecisionLog.Carrier;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class DecisionLogTest {
+  private static final TaskId TASK = new TaskId("wk-1", 0);
+  private final DecisionLog log =
+      new DecisionLog(
+          new Leadership(() -> Instant.EPOCH, Duration.ofSeconds(14)), () -> Instant.EPOCH);
+  private final Machine machine =
+      new Machine(
+          "m-1",
+          "a",
+          false,
+          new MachineType("small", 8, 0, 64, 10, 1, 1, 1, Duration.ZERO, List.of("a")),
+          Machine.Life.UP,
+          Instant.EPOCH);
+
+  @Test
+  void countsStartsAndProofsOnce() {
+    log.sending(
+        machine,
+        List.of(Order.run(TASK, 1), Order.clear(TASK, 0), Order.run(new TaskId("wk-1", 1), 2)),
+        Carrier.COMMAND);
+    log.sending(machine, List.of(Order.run(TASK, 3)), Carrier.ANSWER);
+    Placement placement =
+        new Placement(null, TASK, 1, machine, Placement.Stage.SENT, Instant.EPOCH);
+    log.gone(placement, AbsenceProof.ENDED);
+    log.gone(placement, AbsenceProof.LEASE_OVER);
+    assertEquals("starts=[2,1] absences=[0,0,1,0,0,1,0] sessions=0", log.takeCounts());
+    assertEquals("starts=[0,0] absences=[0,0,0,0,0,0,0] sessions=0", log.takeCounts());
+  }
+}
