--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.drain.DrainSettings;
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.Malformed;
 import io.pearscale.protocol.PeerMessage.JobCount;
@@ -67,7 +68,7 @@
   private boolean higher;
   private String unfit = "";
 
-  private LeaderScript() {
+  private LeaderScript(Operations operations) {
     world.nodes.put("hive-0", new SimNode(world, "hive-0"));
     world.teams.add(new Settings.Team("t", 0, 0, 0, 0));
     world.teams.add(new Settings.Team("q", 0, 2, 0, 0));
@@ -81,7 +82,7 @@
                 this,
                 settings,
                 Tuning.defaults(),
-                Operations.off(),
+                operations,
                 RandomGeneratorFactory.of("L64X128MixRandom").create(1),
                 () -> world.now,
                 new LevelGate(SupportedLevels.OF_THIS_BUILD),
@@ -103,7 +104,8 @@
 
   /** Plays the script; empty when all came as written. */
   static Optional<String> play(String text) throws Malformed {
-    LeaderScript s = new LeaderScript();
+    LeaderScript s =
+        new LeaderScript(text.contains("\ndrains on\n") ? withDrains() : Operations.off());
     int number = 0;
     for (String line : text.split("\n")) {
       number++;
@@ -120,8 +122,18 @@
     return Optional.empty();
   }
 
+  private static Operations withDrains() {
+    return new Operations(
+        Optional.empty(),
+        Operations.off().highestLevel(),
+        Optional.of(new DrainSettings(List.of(), Map.of())));
+  }
+
   private Optional<String> line(List<String> w) throws Malformed {
     switch (w.get(0)) {
+      case "drains" -> {
+        // Read before the first line is played.
+      }
       case "type" -> world.cloud.types.put(w.get(1), Scenario.type(w.get(1), world.zones, w));
       case "job" -> job(w);
       case "drop" -> changed("c/live/" + w.get(1), Optional.empty());
