Take a machine as recorded only at the place that a transaction named

Cause: see the script record-of-former-place. An answer to a transaction said that a machine is recorded, whatever place it had by then.

Change: a transaction says at which place of which value it named each machine, and the answer counts only for a machine that still has that place.

Ruled out: clearing the flag when a place is given (the late answer comes after that).

Measured: LeaderScriptTest and DrainRunsTest pass; without the change the script fails on its last line.

--- a/src/main/java/io/pearscale/scheduler/LeaderRecords.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderRecords.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -321,6 +322,11 @@
     }
   }
 
+  /** Whether that is the machine's place in the roster. */
+  boolean hasPlace(Machine machine, int value, int place) {
+    return roster.home(machine).equals(Optional.of(new Shards.Home(value, place)));
+  }
+
   /** Whether the roster has a place for the machine. */
   boolean hasPlace(Machine machine) {
     return roster.home(machine).isPresent();
--- a/src/main/java/io/pearscale/scheduler/LeaderTransaction.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderTransaction.java
@@ -27,6 +27,9 @@
   /** Well below the 64 KiB that the state service takes. */
   private static final int LARGEST_BODY = 40 * 1024;
 
+  /** A machine that a value of the roster names. */
+  record StoredMachine(int value, Roster.Entry entry) {}
+
   /** What the term, its guard and the frame take. */
   private static final int FRAME_SIZE = 512;
 
@@ -45,7 +48,7 @@
   private int size = FRAME_SIZE;
 
   private final Set<Integer> rosters = new LinkedHashSet<>();
-  private final List<Roster.Entry> machines = new ArrayList<>();
+  private final List<StoredMachine> machines = new ArrayList<>();
   private final Set<Integer> marks = new LinkedHashSet<>();
   private final List<Placement> marked = new ArrayList<>();
   private final Map<JobPart, BitSet> done = new HashMap<>();
@@ -106,7 +109,7 @@
     List<Roster.Entry> entries = new ArrayList<>();
     roster.items(number).forEach((place, machine) -> entries.add(machine.rosterEntry(place)));
     rosters.add(number);
-    machines.addAll(entries);
+    entries.forEach(entry -> machines.add(new StoredMachine(number, entry)));
     write(Keys.roster(number), Roster.encode(entries, level));
     size += entries.stream().mapToInt(Roster::size).sum();
     roster.sent(number);
@@ -201,7 +204,7 @@
   }
 
   /** The machines that are named in them. */
-  List<Roster.Entry> machines() {
+  List<StoredMachine> machines() {
     return machines;
   }
 
--- a/src/main/java/io/pearscale/scheduler/RecordWriter.java
+++ b/src/main/java/io/pearscale/scheduler/RecordWriter.java
@@ -2,6 +2,7 @@
 
 import io.pearscale.protocol.Fields;
 import io.pearscale.protocol.Settings;
+import io.pearscale.scheduler.LeaderTransaction.StoredMachine;
 import io.pearscale.scheduler.SchedulerActor.Environment;
 import io.pearscale.scheduler.SchedulerActor.Listener;
 import io.pearscale.storage.Keys;
@@ -235,9 +236,14 @@
     retirement.deleteRetired();
   }
 
-  private void recorded(Roster.Entry entry) {
+  /**
+   * A machine that got another place while the transaction was under way is not recorded by it:
+   * marks name machines by their places.
+   */
+  private void recorded(StoredMachine stored) {
+    Roster.Entry entry = stored.entry();
     Machine machine = inventory.get(entry.machine());
-    if (machine != null && records.hasPlace(machine)) {
+    if (machine != null && records.hasPlace(machine, stored.value(), entry.place())) {
       machine.recorded = true;
       machine.recordedRetiring = entry.retiring();
       machine.recordedAddress = entry.address();
