Lay records out in either of two ways, and copy from one to the other

Need: gang jobs come with smaller values of the state service (2 KiB where 16 were), so that what stands in a larger value can be read but not be written again. Marks name machines by their place in the roster, which ties each machine to its value, and parts of jobs have 1,024 tasks, whose marks alone take 2.9 KB.

Change: RecordLayout describes two layouts with keys of their own. In the second, for level 2, machines have numbers by which marks name them, and parts have 256 tasks. What stands in the other layout is never rewritten: it is copied a few values a second (RecordMigration), and removed once nothing of it is missing elsewhere, the roster after all marks (FormerRecords). RecordAdoption, taken out of LeaderRecovery, prefers what the written layout says. A value that the state service refuses as too long no longer holds up the transaction (RefusedValues). No build supports level 2 yet, so what is written stays as it was.

Ruled out: splitting values in place (a machine that changes its place has to be named anew by all marks in the same transaction), the newer stamp wins (builds below level 2 would take a task to be in both places).

--- a/src/main/java/io/pearscale/cli/ShowCommands.java
+++ b/src/main/java/io/pearscale/cli/ShowCommands.java
@@ -7,10 +7,12 @@
 import io.pearscale.protocol.Malformed;
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.Marks;
+import io.pearscale.storage.RecordLayout;
 import io.pearscale.storage.Roster;
 import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.BitSet;
 import java.util.Optional;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -133,16 +135,8 @@
       if (live.isEmpty()) {
         return fail("no job is called " + name, Main.EXIT_SETTINGS);
       }
-      int placed = 0;
-      for (Stored marks : state.list(Keys.ALL_MARKS).values()) {
-        for (Marks.Part part : Marks.decode(marks.value())) {
-          for (int host : part.job().equals(name) ? part.hosts() : new int[0]) {
-            placed += host > 0 ? 1 : 0;
-          }
-        }
-      }
       int tasks = live.get().value().path("spec").path("pieces").asInt();
-      say("%s: %d tasks, %d of them have a machine".formatted(name, tasks, placed));
+      say("%s: %d tasks, %d of them have a machine".formatted(name, tasks, placedTasks(state)));
       JsonNode reason = status.path("waiting").path(name);
       say(
           reason.isTextual()
@@ -151,6 +145,34 @@
       return 0;
     }
 
+    /** How many tasks have a machine, by the newer of two records where both layouts have one. */
+    private int placedTasks(StateSession state) throws IOException, Malformed {
+      BitSet told = new BitSet();
+      BitSet placed = new BitSet();
+      for (RecordLayout layout : StoredRoster.layouts(state)) {
+        BitSet toldHere = new BitSet();
+        for (Stored marks : state.list(layout.marksPrefix()).values()) {
+          for (Marks.Part part : Marks.decode(marks.value())) {
+            if (part.job().equals(name)) {
+              notePlaced(part, told, placed);
+              toldHere.set(part.first(), part.first() + layout.partTasks());
+            }
+          }
+        }
+        told.or(toldHere);
+      }
+      return placed.cardinality();
+    }
+
+    private static void notePlaced(Marks.Part part, BitSet told, BitSet placed) {
+      for (int i = 0; i < part.hosts().length; i++) {
+        int task = part.first() + i;
+        if (part.hosts()[i] > 0 && !told.get(task)) {
+          placed.set(task);
+        }
+      }
+    }
+
     private int ofMachine(StateSession state) throws IOException, Malformed {
       for (Roster.Entry entry : StoredRoster.read(state)) {
         if (entry.machine().equals(name)) {
--- a/src/main/java/io/pearscale/cli/StoredRoster.java
+++ b/src/main/java/io/pearscale/cli/StoredRoster.java
@@ -1,22 +1,46 @@
 package io.pearscale.cli;
 
+import io.pearscale.cli.StateSession.Stored;
 import io.pearscale.protocol.Malformed;
 import io.pearscale.storage.Keys;
+import io.pearscale.storage.RecordLayout;
 import io.pearscale.storage.Roster;
+import io.pearscale.upgrade.ClusterLevel;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 
 /** The machines that the records name. */
 final class StoredRoster {
   private StoredRoster() {}
 
-  /** All entries of the roster. */
-  static List<Roster.Entry> read(StateSession state) throws IOException, Malformed {
-    List<Roster.Entry> entries = new ArrayList<>();
-    for (StateSession.Stored value : state.list(Keys.ROSTERS).values()) {
-      entries.addAll(Roster.decode(value.value()));
+  /** All entries of the roster, one a machine. */
+  static Collection<Roster.Entry> read(StateSession state) throws IOException, Malformed {
+    Map<String, Roster.Entry> byMachine = new LinkedHashMap<>();
+    // What is written now is newer than what the other layout says of the same machine.
+    for (RecordLayout layout : layouts(state)) {
+      for (Stored value : state.list(layout.rosterPrefix()).values()) {
+        for (Roster.Entry entry : Roster.decode(value.value())) {
+          byMachine.putIfAbsent(entry.machine(), entry);
+        }
+      }
     }
-    return entries;
+    return byMachine.values();
+  }
+
+  /** Both layouts, first the one that is written. */
+  static List<RecordLayout> layouts(StateSession state) throws IOException, Malformed {
+    Optional<Stored> level = state.read(Keys.LEVEL);
+    ClusterLevel inForce =
+        level.isEmpty() ? ClusterLevel.UNVERSIONED : ClusterLevel.parse(level.get().value());
+    RecordLayout written = RecordLayout.ofLevel(inForce.written());
+    List<RecordLayout> layouts = new ArrayList<>();
+    layouts.add(written);
+    layouts.add(written.other());
+    return layouts;
   }
 }
--- a/src/main/java/io/pearscale/cli/UpgradeView.java
+++ b/src/main/java/io/pearscale/cli/UpgradeView.java
@@ -7,6 +7,7 @@
 import io.pearscale.protocol.Malformed;
 import io.pearscale.protocol.Settings;
 import io.pearscale.storage.Keys;
+import io.pearscale.storage.RecordLayout;
 import io.pearscale.storage.Roster;
 import io.pearscale.storage.StateClient.Guard;
 import io.pearscale.transport.MessagePack;
@@ -31,7 +32,7 @@
  * @param level the stored level as it is, empty if none was ever stored
  * @param objection why this build must stay out, if it must
  * @param members the records of the controllers that run, by host
- * @param pendingValues values of the roster that have another form than the one that is written
+ * @param pendingValues values that have another form, or stand in another layout, than is written
  * @param plan decides on steps; empty if the level can't be read
  */
 record UpgradeView(
@@ -57,7 +58,11 @@
     state
         .list(Keys.MEMBERS)
         .forEach((key, stored) -> members.put(key.substring(Keys.MEMBERS.length()), stored));
-    Map<String, Stored> roster = state.list(Keys.ROSTERS);
+    Map<String, Stored> records = new TreeMap<>();
+    for (RecordLayout layout : RecordLayout.values()) {
+      records.putAll(state.list(layout.rosterPrefix()));
+      records.putAll(state.list(layout.marksPrefix()));
+    }
     Optional<ClusterLevel> inForce = parse(level);
     return new UpgradeView(
         level,
@@ -65,8 +70,8 @@
         gate.objection(),
         hosts,
         members,
-        inForce.map(l -> pendingValues(roster, l.written())).orElse(0),
-        inForce.map(l -> new UpgradePlan(l, hosts, supports(members), inMaintenance(roster))),
+        inForce.map(l -> pendingValues(records, l.written())).orElse(0),
+        inForce.map(l -> new UpgradePlan(l, hosts, supports(members), inMaintenance(records))),
         state.read(Keys.LEADER).map(stored -> stored.value().path("node").asText()),
         state.read(Keys.TERM).map(stored -> stored.value().path("term").asLong()).orElse(0L));
   }
@@ -94,26 +99,40 @@
     return supports;
   }
 
-  private static int pendingValues(Map<String, Stored> roster, int written) {
+  private static int pendingValues(Map<String, Stored> records, int written) {
+    RecordLayout layout = RecordLayout.ofLevel(written);
     int pending = 0;
-    for (Stored stored : roster.values()) {
-      pending += Roster.levelOf(stored.value()).orElse(written) == written ? 0 : 1;
+    for (Map.Entry<String, Stored> record : records.entrySet()) {
+      String key = record.getKey();
+      boolean inPlace =
+          key.startsWith(layout.marksPrefix())
+              || (key.startsWith(layout.rosterPrefix())
+                  && hasFormOf(record.getValue().value(), written));
+      pending += inPlace ? 0 : 1;
     }
     return pending;
   }
 
-  private static List<String> inMaintenance(Map<String, Stored> roster) {
-    List<String> names = new ArrayList<>();
-    for (Stored stored : roster.values()) {
+  private static boolean hasFormOf(JsonNode roster, int written) {
+    return RecordLayout.ofLevel(written) == RecordLayout.BY_NUMBER
+        || Roster.levelOf(roster).orElse(written) == written;
+  }
+
+  private static List<String> inMaintenance(Map<String, Stored> records) {
+    Set<String> names = new TreeSet<>();
+    for (Map.Entry<String, Stored> record : records.entrySet()) {
+      if (!Keys.isRoster(record.getKey())) {
+        continue;
+      }
       try {
-        Roster.decode(stored.value()).stream()
+        Roster.decode(record.getValue().value()).stream()
             .filter(entry -> !entry.maintenance().isNone())
             .forEach(entry -> names.add(entry.machine()));
       } catch (Malformed e) {
         names.add("(unreadable: " + e.getMessage() + ")");
       }
     }
-    return names;
+    return List.copyOf(names);
   }
 
   /** What a step is held to: none of the records of controllers that it rests on has changed. */
@@ -144,7 +163,7 @@
             p ->
                 p.inForce().migrated()
                     ? "complete"
-                    : pendingValues + " values of the roster are to be rewritten")
+                    : pendingValues + " values are to be rewritten or copied")
         .orElse("unknown");
   }
 
--- a/src/main/java/io/pearscale/scheduler/Job.java
+++ b/src/main/java/io/pearscale/scheduler/Job.java
@@ -129,17 +129,6 @@
     return byZone.getOrDefault(zone, 0) == placed.size();
   }
 
-  /** How many parts its marks come in. */
-  int parts() {
-    return (spec.tasks() + Marks.PART - 1) / Marks.PART;
-  }
-
-  /** How large the marks of a part may become. */
-  int marksSize(int part) {
-    return Marks.size(spec.id(), Math.min(Marks.PART, spec.tasks() - part * Marks.PART))
-        + claim().map(Marks.Claim::size).orElse(0);
-  }
-
   /** What its tasks take of their team's limit. */
   Optional<Marks.Claim> claim() {
     return limited
@@ -159,7 +148,7 @@
             claim.team(),
             /* service= */ true,
             Priority.IDLE,
-            p.part() * Marks.PART + p.hosts().length,
+            p.first() + p.hosts().length,
             claim.cpus(),
             claim.gpus(),
             claim.memoryGb(),
@@ -177,16 +166,11 @@
     return new Job(spec, 0, now, /* limited= */ true);
   }
 
-  /** Done tasks of a part, numbered from its first. */
-  BitSet doneOf(int part) {
-    return done.get(part * Marks.PART, (part + 1) * Marks.PART);
-  }
-
-  /** The tasks of the part were written as done. */
-  void noteDurable(int part, BitSet bits) {
-    for (int i = bits.nextSetBit(0); i >= 0; i = bits.nextSetBit(i + 1)) {
-      if (part * Marks.PART + i < spec.tasks()) {
-        durableDone.set(part * Marks.PART + i);
+  /** The tasks were written as done; they are numbered from the first one. */
+  void noteDurable(int first, BitSet doneTasks) {
+    for (int i = doneTasks.nextSetBit(0); i >= 0; i = doneTasks.nextSetBit(i + 1)) {
+      if (first + i < spec.tasks()) {
+        durableDone.set(first + i);
       }
     }
   }
--- a/src/main/java/io/pearscale/scheduler/JobPart.java
+++ b/src/main/java/io/pearscale/scheduler/JobPart.java
@@ -1,26 +1,62 @@
 package io.pearscale.scheduler;
 
 import io.pearscale.storage.Marks;
+import io.pearscale.storage.RecordLayout;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
 
-/** Part of a job's tasks: the marks of a job are kept in parts of {@link Marks#PART} tasks each. */
-record JobPart(Job job, int part) {
+/**
+ * Part of a job's tasks: the marks of a job are kept in parts of as many tasks as the layout of the
+ * records says.
+ *
+ * @param first its first task
+ * @param tasks how many tasks it has
+ */
+record JobPart(Job job, int first, int tasks) {
   /** The part that a task belongs to. */
-  static JobPart of(Job job, int task) {
-    return new JobPart(job, task / Marks.PART);
+  static JobPart of(Job job, int task, RecordLayout layout) {
+    int first = task - task % layout.partTasks();
+    return new JobPart(job, first, Math.min(layout.partTasks(), job.spec.tasks() - first));
+  }
+
+  /** All parts of a job. */
+  static List<JobPart> all(Job job, RecordLayout layout) {
+    return covering(job, 0, job.spec.tasks(), layout);
+  }
+
+  /** The parts that hold tasks from the first one on, up to the last one, which is excluded. */
+  static List<JobPart> covering(Job job, int from, int to, RecordLayout layout) {
+    List<JobPart> parts = new ArrayList<>();
+    int end = Math.min(to, job.spec.tasks());
+    for (int task = from - from % layout.partTasks(); task < end; task += layout.partTasks()) {
+      parts.add(of(job, task, layout));
+    }
+    return parts;
   }
 
   /** How large the marks of this part may become. */
-  int marksSize() {
-    return job.marksSize(part);
+  int marksSize(RecordLayout layout) {
+    return Marks.size(job.spec.id(), tasks, layout) + job.claim().map(Marks.Claim::size).orElse(0);
+  }
+
+  /** Its tasks that are done, numbered from its first. */
+  BitSet done() {
+    return job.done.get(first, first + tasks);
+  }
+
+  /** Its tasks were written as done. */
+  void noteDurable(BitSet doneTasks) {
+    job.noteDurable(first, doneTasks);
   }
 
   @Override
   public boolean equals(Object other) {
-    return other instanceof JobPart o && part == o.part && job == o.job;
+    return other instanceof JobPart o && first == o.first && job == o.job;
   }
 
   @Override
   public int hashCode() {
-    return 31 * job.hashCode() + part;
+    return 31 * job.hashCode() + first;
   }
 }
--- a/src/main/java/io/pearscale/scheduler/LeaderRecords.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderRecords.java
@@ -5,6 +5,8 @@
 import io.pearscale.protocol.Malformed;
 import io.pearscale.protocol.Settings.State;
 import io.pearscale.storage.Keys;
+import io.pearscale.storage.Marks;
+import io.pearscale.storage.RecordLayout;
 import io.pearscale.storage.ReplicaActor.KeyChange;
 import io.pearscale.storage.Roster;
 import io.pearscale.upgrade.LevelGate;
@@ -33,6 +35,7 @@
   /** Values are filled to so many bytes, and to three quarters of what the service takes. */
   private static final int SHARED_VALUE = 6000;
 
+  private final LevelGate gate;
   private final int valueSize;
   private final int largestValue;
   private final InstantSource clock;
@@ -40,11 +43,19 @@
   private final Map<String, JsonNode> storedMarks = new TreeMap<>();
   private final Map<String, JsonNode> storedRoster = new TreeMap<>();
   private final Set<String> storedTypes = new HashSet<>();
+  private final MachineNumbers numbers = new MachineNumbers();
+  private final FormerRecords former = new FormerRecords();
+  private final RecordMigration migration;
+  private final RefusedValues refused = new RefusedValues();
+  private RecordLayout layout;
   private Shards<JobPart> marks;
   private Shards<Machine> roster;
   private final Set<Job> ended = new LinkedHashSet<>();
+
+  /** Parts whose records were found in the layout that is written when the term began. */
+  private final Set<JobPart> found = new HashSet<>();
+
   private final Set<String> garbage = new LinkedHashSet<>();
-  private final RosterMigration migration;
   private boolean catalogueDue;
 
   /**
@@ -54,22 +65,36 @@
    * @param requestCommit asks for a transaction
    */
   LeaderRecords(State limits, LevelGate gate, InstantSource clock, Runnable requestCommit) {
+    this.gate = gate;
     this.valueSize = Math.min(SHARED_VALUE, limits.valueBytes() * 3 / 4);
     this.largestValue = limits.valueBytes();
     this.clock = clock;
     this.requestCommit = requestCommit;
-    this.migration = new RosterMigration(gate, limits.txnOps());
+    this.migration = new RecordMigration(gate, limits.txnOps(), former);
     clear();
   }
 
   /** Forgets what is to be written; what is stored stays known. */
   void clear() {
-    marks = new Shards<>(valueSize);
-    roster = new Shards<>(valueSize);
+    layout = layoutInForce();
+    emptyShards();
+    former.clear();
+    numbers.begin();
+    refused.clear();
     ended.clear();
+    found.clear();
     garbage.clear();
   }
 
+  private RecordLayout layoutInForce() {
+    return RecordLayout.ofLevel(gate.inForce().written());
+  }
+
+  private void emptyShards() {
+    marks = new Shards<>(valueSize);
+    roster = new Shards<>(valueSize);
+  }
+
   // ---- What is stored ----
 
   /** All keys are about to be read anew. */
@@ -96,17 +121,58 @@
   /** All that is stored, decoded, for a term that begins. */
   StoredRecords decodeStored() throws Malformed {
     migration.begin(storedRoster);
-    return StoredRecords.decode(storedRoster, storedMarks);
+    return StoredRecords.decode(storedRoster, storedMarks, layoutInForce());
+  }
+
+  /** Takes over a machine's record; one of the former layout is to be copied. */
+  void adoptMachine(Machine machine, StoredRecords.StoredMachine stored) {
+    if (stored.layout() != layout) {
+      assignPlace(machine);
+      former.add(stored.key(), machine.recorded ? List.of() : List.of(machine));
+      return;
+    }
+    Roster.Entry entry = stored.entry();
+    if (layout == RecordLayout.BY_NUMBER) {
+      machine.number = entry.number();
+      roster.adopt(machine, Roster.size(entry), stored.value());
+    } else {
+      roster.adopt(machine, Roster.size(entry), stored.value(), entry.number());
+    }
+    machine.recorded = true;
   }
 
-  /** Takes over the place of a machine's record. */
-  void adoptMachine(Machine machine, Roster.Entry entry, int value) {
-    roster.adopt(machine, Roster.size(entry), value, entry.place());
+  /** The number of a stored machine is taken. */
+  void noteNumber(StoredRecords.StoredMachine stored) {
+    if (stored.layout() == RecordLayout.BY_NUMBER) {
+      numbers.note(stored.entry().number());
+    }
+  }
+
+  /** Takes over the records of tasks of a job; those of the former layout are to be copied. */
+  void adoptPart(Job job, StoredRecords.StoredPart stored) {
+    int first = stored.part().first();
+    if (stored.layout() == layout) {
+      JobPart part = JobPart.of(job, first, layout);
+      marks.adopt(part, part.marksSize(layout), stored.value());
+      found.add(part);
+      return;
+    }
+    List<JobPart> parts = JobPart.covering(job, first, first + stored.layout().partTasks(), layout);
+    parts.removeIf(found::contains);
+    parts.forEach(part -> marks.put(part, part.marksSize(layout)));
+    former.add(stored.key(), parts);
+  }
+
+  /** Nothing of what the stored value says is alive, as far as this part of it goes. */
+  void noteUnused(StoredRecords.StoredPart stored) {
+    if (stored.layout() != layout) {
+      former.add(stored.key(), List.of());
+    }
   }
 
-  /** Takes over the place of the records of a part of a job. */
-  void adoptPart(JobPart part, int value) {
-    marks.adopt(part, part.marksSize(), value);
+  /** Whether records are written in that layout. */
+  boolean isWritten(RecordLayout thatLayout) {
+    return thatLayout == layout;
   }
 
   /** Takes over that all tasks of the job are done: its end is written with the next values. */
@@ -114,24 +180,74 @@
     ended.add(job);
   }
 
+  /** The layout of another level is to be written: all is copied, what is due first. */
+  private void changeLayout() {
+    RecordLayout before = layout;
+    Shards<JobPart> formerMarks = marks;
+    Shards<Machine> formerRoster = roster;
+    layout = layoutInForce();
+    garbage.clear();
+    former.clear();
+    refused.clear();
+    emptyShards();
+    for (String key : storedRoster.keySet()) {
+      if (RecordLayout.ofRoster(key).orElseThrow() == before) {
+        Collection<Machine> machines = formerRoster.items(Keys.number(key)).values();
+        former.add(key, machines);
+      }
+    }
+    formerRoster.all().forEach(this::copyMachine);
+    for (String key : storedMarks.keySet()) {
+      if (RecordLayout.ofMarks(key).orElseThrow() == before) {
+        former.add(key, inLayout(formerMarks.items(Keys.number(key)).values()));
+      }
+    }
+    Set<JobPart> urgent = inLayout(formerMarks.itemsOf(formerMarks.urgent()));
+    for (JobPart part : inLayout(formerMarks.all())) {
+      marks.put(part, part.marksSize(layout));
+      if (urgent.contains(part)) {
+        marks.due(part);
+      }
+    }
+  }
+
+  private void copyMachine(Machine machine) {
+    machine.recorded = false;
+    assignPlace(machine);
+    boolean waits =
+        machine.placements.values().stream().anyMatch(p -> p.stage == Placement.Stage.PLANNED);
+    if (waits || (machine.life == Machine.Life.RETIRING && !machine.recordedRetiring)) {
+      roster.due(machine);
+    }
+  }
+
+  private Set<JobPart> inLayout(Collection<JobPart> parts) {
+    Set<JobPart> converted = new LinkedHashSet<>();
+    for (JobPart part : parts) {
+      int end = part.first() + part.tasks();
+      converted.addAll(JobPart.covering(part.job(), part.first(), end, layout));
+    }
+    return converted;
+  }
+
   // ---- What is to be written ----
 
   /** The machine of the placement is to be named in the task's mark, and in the roster. */
   void recordTask(Placement placement) {
-    JobPart part = JobPart.of(placement.job, placement.task.index());
+    JobPart part = JobPart.of(placement.job, placement.task.index(), layout);
     assignPlace(placement.machine);
     if (!placement.machine.recorded) {
       roster.due(placement.machine);
     }
-    marks.put(part, part.marksSize());
+    marks.put(part, part.marksSize(layout));
     marks.due(part);
     requestCommit.run();
   }
 
   /** A task is done. Until that is written its worker goes on to show it: there is no hurry. */
   void recordProgress(Job job, int task) {
-    JobPart part = JobPart.of(job, task);
-    marks.put(part, part.marksSize());
+    JobPart part = JobPart.of(job, task, layout);
+    marks.put(part, part.marksSize(layout));
     marks.due(part, clock.instant().plus(UNHURRIED));
   }
 
@@ -148,6 +264,9 @@
 
   /** Gives the machine a place in the roster, unless it has one. */
   void assignPlace(Machine machine) {
+    if (layout == RecordLayout.BY_NUMBER && machine.number == 0) {
+      machine.number = numbers.next();
+    }
     roster.put(machine, Roster.size(machine.rosterEntry(0)));
   }
 
@@ -171,14 +290,16 @@
   void removeMachine(Machine machine) {
     recordMachineUnhurried(machine);
     roster.remove(machine);
+    former.copied(machine);
     machine.recorded = false;
     machine.recordedRetiring = false;
   }
 
   /** The records of a job's tasks need no room any more. */
   void removeJob(Job job) {
-    for (int part = 0; part < job.parts(); part++) {
-      marks.remove(new JobPart(job, part));
+    for (JobPart part : JobPart.all(job, layout)) {
+      marks.remove(part);
+      former.copied(part);
     }
   }
 
@@ -207,21 +328,28 @@
   /** Finds stored values in which nothing lives any more. */
   void collectGarbage() {
     for (String key : storedMarks.keySet()) {
-      if (marks.isEmpty(Keys.number(key))) {
+      if (isPresent(key) && marks.isEmpty(Keys.number(key))) {
         garbage.add(key);
       }
     }
     for (String key : storedRoster.keySet()) {
-      if (roster.isEmpty(Keys.number(key))) {
+      if (isPresent(key) && roster.isEmpty(Keys.number(key))) {
         garbage.add(key);
       }
     }
+    former.removable(garbage::add);
+  }
+
+  /** Whether the key belongs to the layout that is written. */
+  private boolean isPresent(String key) {
+    return key.startsWith(layout.marksPrefix()) || key.startsWith(layout.rosterPrefix());
   }
 
   /** Whether something waits to be written now. */
   boolean isDue() {
     Instant now = clock.instant();
     return catalogueDue
+        || layout != layoutInForce()
         || !ended.isEmpty()
         || !garbage.isEmpty()
         || migration.isDue(now)
@@ -235,6 +363,9 @@
 
   /** First what waiting tasks need, then what users wait to hear, then what can wait. */
   void fill(LeaderTransaction transaction, Collection<MachineType> types) {
+    if (layout != layoutInForce()) {
+      changeLayout();
+    }
     if (catalogueDue && !types.isEmpty()) {
       transaction.addCatalogue(types, largestValue);
     }
@@ -261,38 +392,55 @@
    * the end in it.
    */
   private void migrate(LeaderTransaction transaction, Instant now) {
-    List<Integer> batch = migration.nextBatch(now);
-    writeRosters(batch, transaction);
-    if (batch.isEmpty() && transaction.hasRoom()) {
+    RecordMigration.Batch batch = migration.nextBatch(now, this::homeOfCopy);
+    writeRosters(batch.rosters(), transaction);
+    writeMarks(batch.marks(), transaction);
+    if (migration.isOver(batch) && transaction.hasRoom()) {
       transaction.addLevel(migration.completedLevel());
     }
   }
 
-  private void writeRosters(List<Integer> numbers, LeaderTransaction transaction) {
-    for (int number : numbers) {
-      if (transaction.hasRoom()) {
-        transaction.addRoster(number, roster);
-        garbage.remove(Keys.roster(number));
+  /** In which value what has yet to be copied is to stand. */
+  private Optional<RecordMigration.Home> homeOfCopy(Object item) {
+    return item instanceof Machine machine
+        ? roster.home(machine).map(home -> new RecordMigration.Home(false, home.shard()))
+        : marks.home((JobPart) item).map(home -> new RecordMigration.Home(true, home.shard()));
+  }
+
+  private void writeRosters(Collection<Integer> values, LeaderTransaction transaction) {
+    for (int value : values) {
+      if (transaction.hasRoom() && refused.mayWrite(layout.rosterKey(value))) {
+        transaction.addRoster(layout, value, roster);
+        garbage.remove(layout.rosterKey(value));
       }
     }
   }
 
-  private void writeMarks(List<Integer> numbers, LeaderTransaction transaction) {
-    for (int number : numbers) {
-      if (transaction.hasRoom()) {
-        transaction.addMarks(number, marks, roster);
-        garbage.remove(Keys.marks(number));
+  private void writeMarks(Collection<Integer> values, LeaderTransaction transaction) {
+    for (int value : values) {
+      if (transaction.hasRoom() && refused.mayWrite(layout.marksKey(value))) {
+        transaction.addMarks(layout, value, marks, this::numberOf);
+        garbage.remove(layout.marksKey(value));
       }
     }
   }
 
+  /** The number by which marks name a machine; 0 while it has none. */
+  private int numberOf(Machine machine) {
+    Optional<Shards.Home> home = roster.home(machine);
+    if (home.isEmpty()) {
+      return 0;
+    }
+    return layout == RecordLayout.BY_NUMBER
+        ? machine.number
+        : Marks.numberOfPlace(home.get().shard(), home.get().place(), Shards.PLACES);
+  }
+
   private void removeGarbage(LeaderTransaction transaction) {
     for (Iterator<String> it = garbage.iterator();
         it.hasNext() && transaction.hasRoomForRemoval(); ) {
       String key = it.next();
-      boolean reused =
-          Keys.isMarks(key) ? !marks.isEmpty(Keys.number(key)) : !roster.isEmpty(Keys.number(key));
-      if (reused) {
+      if (isPresent(key) && isReused(key)) {
         it.remove();
       } else {
         transaction.addRemoval(key);
@@ -300,31 +448,55 @@
     }
   }
 
+  private boolean isReused(String key) {
+    int value = Keys.number(key);
+    return Keys.isMarks(key) ? !marks.isEmpty(value) : !roster.isEmpty(value);
+  }
+
   /** The transaction was not applied, as far as known: its values are to be written again. */
   void writeAgain(LeaderTransaction transaction) {
     transaction.rosters().forEach(roster::due);
     transaction.marks().forEach(marks::due);
   }
 
+  /** The state service takes no transaction like this: values that are too long are left out. */
+  void refused(LeaderTransaction transaction) {
+    refused.note(transaction.sizes(), largestValue);
+  }
+
   /** The transaction was applied. */
   void written(LeaderTransaction transaction) {
     transaction.marked().forEach(p -> p.marked = true);
-    transaction.done().forEach((part, bits) -> part.job().noteDurable(part.part(), bits));
+    transaction
+        .done()
+        .forEach(
+            (part, doneTasks) -> {
+              part.noteDurable(doneTasks);
+              former.copied(part);
+            });
     transaction.rosters().forEach(number -> migration.written(number, transaction.level()));
     for (String key : transaction.dropped()) {
       garbage.remove(key);
-      if (Keys.isRoster(key)) {
-        migration.removed(Keys.number(key));
-      }
+      former.removed(key);
+      migration.removed(key);
     }
     if (transaction.hasCatalogue()) {
       catalogueDue = false;
     }
   }
 
+  /** The machine is recorded as it is to be found by a successor. */
+  void noteRecorded(Machine machine) {
+    former.copied(machine);
+  }
+
   /** Whether that is the machine's place in the roster. */
-  boolean hasPlace(Machine machine, int value, int place) {
-    return roster.home(machine).equals(Optional.of(new Shards.Home(value, place)));
+  boolean hasPlace(Machine machine, LeaderTransaction.StoredMachine stored) {
+    Optional<Shards.Home> home = roster.home(machine);
+    int number = stored.entry().number();
+    return home.isPresent()
+        && home.get().shard() == stored.value()
+        && number == (layout == RecordLayout.BY_NUMBER ? machine.number : home.get().place());
   }
 
   /** Whether the roster has a place for the machine. */
--- a/src/main/java/io/pearscale/scheduler/LeaderRecovery.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderRecovery.java
@@ -1,17 +1,9 @@
 package io.pearscale.scheduler;
 
-import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Malformed;
-import io.pearscale.protocol.TaskId;
-import io.pearscale.scheduler.Machine.Life;
-import io.pearscale.scheduler.Placement.Stage;
-import io.pearscale.storage.Marks;
-import io.pearscale.storage.Roster;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -20,6 +12,7 @@
 /** Rebuilds what a new leader has to know from the records that its predecessors left. */
 final class LeaderRecovery {
   private static final Logger LOG = LoggerFactory.getLogger(LeaderRecovery.class);
+  private final LeaderState state;
   private final Leadership leadership;
   private final JobTable jobs;
   private final MachineInventory inventory;
@@ -35,6 +28,7 @@
    * @param unfit is told why this controller can't lead, of a record that it can't read
    */
   LeaderRecovery(LeaderState state, CommandDispatcher dispatcher, Consumer<String> unfit) {
+    this.state = state;
     this.leadership = state.leadership();
     this.jobs = state.jobs();
     this.inventory = state.inventory();
@@ -68,7 +62,7 @@
     leadership.becomeReady();
     jobs.forgetPlacements();
     records.clear();
-    takeOver(stored.get());
+    new RecordAdoption(state).adopt(stored.get());
     jobs.all().forEach(jobs::requeue);
     dispatcher.probeFormerMachines();
     LOG.info(
@@ -100,83 +94,6 @@
     }
   }
 
-  private void takeOver(StoredRecords stored) {
-    Map<Integer, Machine> numbered = new HashMap<>();
-    stored
-        .machines()
-        .forEach(
-            (number, entries) -> {
-              for (Roster.Entry e : entries) {
-                numbered.put(Marks.host(number, e.place(), Shards.PLACES), fromRoster(e, number));
-              }
-            });
-    stored.tasks().forEach((number, parts) -> parts.forEach(p -> takeOver(p, numbered, number)));
-  }
-
-  private void takeOver(Marks.Part p, Map<Integer, Machine> numbered, int value) {
-    Job j = jobs.get(p.job());
-    if (j != null && p.part() >= 0 && p.part() < j.parts()) {
-      fromMarks(j, p, numbered, value);
-    } else if (j == null && p.part() >= 0 && p.claim().isPresent()) {
-      remainsFromMarks(p, numbered, value);
-    }
-  }
-
-  private Machine fromRoster(Roster.Entry e, int value) {
-    MachineType type = inventory.catalogue().typeOf(e.type());
-    boolean seen = !e.address().isEmpty();
-    Life life = e.retiring() ? Life.RETIRING : seen ? Life.UP : Life.BOOTING;
-    Machine m = new Machine(e.machine(), e.zone(), e.spot(), type, life, clock.instant());
-    m.address = e.address();
-    m.recorded = true;
-    m.recordedRetiring = e.retiring();
-    m.recordedAddress = e.address();
-    m.maintenance = e.maintenance();
-    m.recordedMaintenance = e.maintenance();
-    m.everReported = seen;
-    m.lease.recorded(e.session());
-    inventory.addFormer(m);
-    records.adoptMachine(m, e, value);
-    return m;
-  }
-
-  /**
-   * Takes over what is known of a part of a job. A task that is not done may be on the machine that
-   * its mark names, and on no other: the mark is durable before the start is sent, and is changed
-   * only when the task is known to be gone from there. So it waits for that machine alone.
-   */
-  private void fromMarks(Job j, Marks.Part p, Map<Integer, Machine> numbered, int value) {
-    int first = p.part() * Marks.PART;
-    p.done().stream().filter(i -> first + i < j.spec.tasks()).forEach(i -> j.done.set(first + i));
-    j.noteDurable(p.part(), p.done());
-    records.adoptPart(new JobPart(j, p.part()), value);
-    for (int i = 0; i < p.hosts().length && first + i < j.spec.tasks(); i++) {
-      Machine m = numbered.get(p.hosts()[i]);
-      if (m != null && !j.done.get(first + i)) {
-        TaskId task = new TaskId(j.spec.id(), first + i);
-        Placement assumed = new Placement(j, task, -1, m, Stage.SENT, clock.instant());
-        assumed.marked = true;
-        inventory.add(assumed);
-      }
-    }
-    if (j.complete()) {
-      records.adoptEnd(j);
-    }
-  }
-
-  /** Takes over what may be left of a job that is over, see {@link LeaderRecords#close}. */
-  private void remainsFromMarks(Marks.Part p, Map<Integer, Machine> numbered, int value) {
-    Job remains = Job.remains(p, p.claim().orElseThrow(), clock.instant());
-    fromMarks(remains, p, numbered, value);
-    for (Placement placement : remains.placed.values()) {
-      placement.stopping = true;
-      placement.stopsAtOnce = true;
-    }
-    if (remains.placed.isEmpty()) {
-      records.removeJob(remains);
-    }
-  }
-
   /**
    * A former leader may renew leases for as long as its proof holds, unless it has ended or knows
    * of our term. Both are known of every peer from when it said that it knows the term: it steps
--- a/src/main/java/io/pearscale/scheduler/LeaderTransaction.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderTransaction.java
@@ -5,6 +5,7 @@
 import io.pearscale.protocol.MachineType;
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.Marks;
+import io.pearscale.storage.RecordLayout;
 import io.pearscale.storage.Roster;
 import io.pearscale.storage.StateClient.Change;
 import io.pearscale.storage.StateClient.Guard;
@@ -16,8 +17,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 
 /**
  * A leader's transaction while it is put together, and what it makes durable once it is applied.
@@ -54,6 +55,7 @@
   private final Map<JobPart, BitSet> done = new HashMap<>();
   private final List<Job> finished = new ArrayList<>();
   private final List<String> dropped = new ArrayList<>();
+  private final Map<String, Integer> sizes = new HashMap<>();
   private boolean catalogue;
 
   /**
@@ -105,44 +107,58 @@
   }
 
   /** Adds a value of the roster. */
-  void addRoster(int number, Shards<Machine> roster) {
+  void addRoster(RecordLayout layout, int number, Shards<Machine> roster) {
+    boolean byNumber = layout == RecordLayout.BY_NUMBER;
     List<Roster.Entry> entries = new ArrayList<>();
-    roster.items(number).forEach((place, machine) -> entries.add(machine.rosterEntry(place)));
+    roster
+        .items(number)
+        .forEach(
+            (place, machine) ->
+                entries.add(machine.rosterEntry(byNumber ? machine.number : place)));
     rosters.add(number);
     entries.forEach(entry -> machines.add(new StoredMachine(number, entry)));
-    write(Keys.roster(number), Roster.encode(entries, level));
-    size += entries.stream().mapToInt(Roster::size).sum();
+    JsonNode value = Roster.encode(entries, level);
+    addRecord(layout.rosterKey(number), value, Roster.length(value));
     roster.sent(number);
   }
 
-  /** Adds a value of marks, which name machines by their places in the roster. */
-  void addMarks(int number, Shards<JobPart> parts, Shards<Machine> roster) {
+  /**
+   * Adds a value of marks.
+   *
+   * @param numberOf the number by which marks name a machine; 0 if it has none
+   */
+  void addMarks(
+      RecordLayout layout, int number, Shards<JobPart> parts, ToIntFunction<Machine> numberOf) {
     List<Marks.Part> encoded = new ArrayList<>();
-    parts.items(number).values().forEach(part -> encoded.add(marksOf(part, roster)));
+    parts.items(number).values().forEach(part -> encoded.add(marksOf(part, numberOf)));
     marks.add(number);
-    JsonNode value = Marks.encode(encoded);
-    write(Keys.marks(number), value);
-    size += Marks.length(value);
+    JsonNode value = Marks.encode(encoded, layout);
+    addRecord(layout.marksKey(number), value, Marks.length(value));
     parts.sent(number);
   }
 
-  private Marks.Part marksOf(JobPart part, Shards<Machine> roster) {
+  private void addRecord(String key, JsonNode value, int length) {
+    write(key, value);
+    sizes.put(key, length);
+    size += length;
+  }
+
+  private Marks.Part marksOf(JobPart part, ToIntFunction<Machine> numberOf) {
     Job job = part.job();
-    int first = part.part() * Marks.PART;
-    int[] hosts = new int[Math.min(Marks.PART, job.spec.tasks() - first)];
+    int[] hosts = new int[part.tasks()];
     for (Placement placement : job.placed.values()) {
-      int index = placement.task.index() - first;
-      Optional<Shards.Home> home = roster.home(placement.machine);
-      if (index >= 0 && index < hosts.length && home.isPresent()) {
-        hosts[index] = Marks.host(home.get().shard(), home.get().place(), Shards.PLACES);
+      int index = placement.task.index() - part.first();
+      int number = numberOf.applyAsInt(placement.machine);
+      if (index >= 0 && index < hosts.length && number > 0) {
+        hosts[index] = number;
         if (!placement.marked) {
           marked.add(placement);
         }
       }
     }
-    BitSet doneTasks = job.doneOf(part.part());
+    BitSet doneTasks = part.done();
     done.put(part, doneTasks);
-    return new Marks.Part(job.spec.id(), part.part(), doneTasks, hosts, job.claim());
+    return new Marks.Part(job.spec.id(), part.first(), doneTasks, hosts, job.claim());
   }
 
   /** Adds the end of a job whose tasks are all done; a cancel that was faster refuses the whole. */
@@ -198,6 +214,11 @@
     return catalogue;
   }
 
+  /** How long the values of roster and marks in it are, by key. */
+  Map<String, Integer> sizes() {
+    return sizes;
+  }
+
   /** The values of the roster that it writes. */
   Set<Integer> rosters() {
     return rosters;
--- a/src/main/java/io/pearscale/scheduler/Machine.java
+++ b/src/main/java/io/pearscale/scheduler/Machine.java
@@ -78,6 +78,9 @@
 
   boolean recordedRetiring;
 
+  /** By which marks name it in the layout by number; 0 while it has none. */
+  int number;
+
   /** What the roster has as the machine's address. */
   String recordedAddress = "";
 
@@ -137,10 +140,10 @@
     this.address = "";
   }
 
-  /** What the roster is to say of the machine, at that place. */
-  Roster.Entry rosterEntry(int place) {
+  /** What the roster is to say of the machine, with the number by which marks name it. */
+  Roster.Entry rosterEntry(int byNumber) {
     return new Roster.Entry(
-        place,
+        byNumber,
         name,
         address,
         type.name(),
--- a/src/main/java/io/pearscale/scheduler/RecordWriter.java
+++ b/src/main/java/io/pearscale/scheduler/RecordWriter.java
@@ -194,6 +194,9 @@
           .forEach(records::withdrawEnd);
       plan();
     } else {
+      if (reply.status() == 400) {
+        records.refused(transaction);
+      }
       LOG.info("event=commit_put_off term={} status={}", leadership.term(), reply.status());
       committing = false;
       retry();
@@ -243,11 +246,12 @@
   private void recorded(StoredMachine stored) {
     Roster.Entry entry = stored.entry();
     Machine machine = inventory.get(entry.machine());
-    if (machine != null && records.hasPlace(machine, stored.value(), entry.place())) {
+    if (machine != null && records.hasPlace(machine, stored)) {
       machine.recorded = true;
       machine.recordedRetiring = entry.retiring();
       machine.recordedAddress = entry.address();
       machine.recordedMaintenance = entry.maintenance();
+      records.noteRecorded(machine);
     }
   }
 
--- a/src/main/java/io/pearscale/scheduler/Shards.java
+++ b/src/main/java/io/pearscale/scheduler/Shards.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -155,6 +156,18 @@
     return shard(shard).items;
   }
 
+  /** All that lives in those values. */
+  List<T> itemsOf(Collection<Integer> numbers) {
+    List<T> all = new ArrayList<>();
+    numbers.forEach(number -> all.addAll(shard(number).items.values()));
+    return all;
+  }
+
+  /** All that has a home, value by value. */
+  List<T> all() {
+    return itemsOf(List.copyOf(shards.keySet()));
+  }
+
   /** Whether nothing lives in the value. */
   boolean isEmpty(int shard) {
     return shard(shard).items.isEmpty();
--- a/src/main/java/io/pearscale/scheduler/StoredRecords.java
+++ b/src/main/java/io/pearscale/scheduler/StoredRecords.java
@@ -4,42 +4,97 @@
 import io.pearscale.protocol.Malformed;
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.Marks;
+import io.pearscale.storage.RecordLayout;
 import io.pearscale.storage.Roster;
-import java.util.LinkedHashMap;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 
 /**
  * What the state service holds of machines and tasks, decoded as a whole before a new leader takes
  * any of it over. A record that can't be read fails the whole: a leader that passed it over would
  * start its tasks a second time.
  *
- * @param machines the entries of each value of the roster, by its number
- * @param tasks the parts of each value of marks, by its number
+ * @param machines the machines, first those in the layout that is written
+ * @param tasks the parts of jobs, first those in the layout that is written: what they say of a
+ *     task is newer than what the other layout says
  */
-record StoredRecords(
-    Map<Integer, List<Roster.Entry>> machines, Map<Integer, List<Marks.Part>> tasks) {
+record StoredRecords(List<StoredMachine> machines, List<StoredPart> tasks) {
+  /** A machine, as one value says. */
+  record StoredMachine(RecordLayout layout, int value, Roster.Entry entry) {
+    /** The key of the value. */
+    String key() {
+      return layout.rosterKey(value);
+    }
+
+    /** The number by which marks of the same layout name it. */
+    int number() {
+      return layout == RecordLayout.BY_NUMBER
+          ? entry.number()
+          : Marks.numberOfPlace(value, entry.number(), Shards.PLACES);
+    }
+  }
+
+  /** A part of a job, as one value says. */
+  record StoredPart(RecordLayout layout, int value, Marks.Part part) {
+    /** The key of the value. */
+    String key() {
+      return layout.marksKey(value);
+    }
+  }
+
   /** Reads a record's value. */
   private interface Decoder<T> {
     List<T> decode(JsonNode value) throws Malformed;
   }
 
-  /** Decodes all records; the message of what is thrown names the key that can't be read. */
-  static StoredRecords decode(Map<String, JsonNode> roster, Map<String, JsonNode> marks)
+  /** Makes an entry of a decoded one. */
+  private interface Maker<T, S> {
+    S make(RecordLayout layout, int value, T decoded);
+  }
+
+  /**
+   * Decodes all records; the message of what is thrown names the key that can't be read.
+   *
+   * @param written the layout that is written
+   */
+  static StoredRecords decode(
+      Map<String, JsonNode> roster, Map<String, JsonNode> marks, RecordLayout written)
       throws Malformed {
-    return new StoredRecords(decode(roster, Roster::decode), decode(marks, Marks::decode));
+    List<StoredMachine> machines =
+        decode(
+            roster,
+            key -> RecordLayout.ofRoster(key).orElseThrow(),
+            Roster::decode,
+            StoredMachine::new);
+    List<StoredPart> tasks =
+        decode(
+            marks, key -> RecordLayout.ofMarks(key).orElseThrow(), Marks::decode, StoredPart::new);
+    machines.sort(Comparator.comparing(machine -> machine.layout() != written));
+    tasks.sort(Comparator.comparing(part -> part.layout() != written));
+    return new StoredRecords(machines, tasks);
   }
 
-  private static <T> Map<Integer, List<T>> decode(Map<String, JsonNode> values, Decoder<T> decoder)
+  private static <T, S> List<S> decode(
+      Map<String, JsonNode> values,
+      Function<String, RecordLayout> layoutOf,
+      Decoder<T> decoder,
+      Maker<T, S> maker)
       throws Malformed {
-    Map<Integer, List<T>> decoded = new LinkedHashMap<>();
+    List<S> entries = new ArrayList<>();
     for (Map.Entry<String, JsonNode> value : values.entrySet()) {
+      String key = value.getKey();
       try {
-        decoded.put(Keys.number(value.getKey()), decoder.decode(value.getValue()));
+        RecordLayout layout = layoutOf.apply(key);
+        for (T decoded : decoder.decode(value.getValue())) {
+          entries.add(maker.make(layout, Keys.number(key), decoded));
+        }
       } catch (Malformed | NumberFormatException e) {
-        throw new Malformed(value.getKey() + ": " + e.getMessage());
+        throw new Malformed(key + ": " + e.getMessage());
       }
     }
-    return decoded;
+    return entries;
   }
 }
--- a/src/main/java/io/pearscale/storage/Keys.java
+++ b/src/main/java/io/pearscale/storage/Keys.java
@@ -21,12 +21,6 @@
   /** The last catalogue of machine types. */
   public static final String CATALOGUE = "c/catalogue";
 
-  /** All values of marks. */
-  public static final String ALL_MARKS = "c/marks/";
-
-  /** All values of the roster. */
-  public static final String ROSTERS = "c/roster/";
-
   /** What the controllers that run say of their builds. */
   public static final String MEMBERS = "c/member/";
 
@@ -55,16 +49,6 @@
     return PAST + job;
   }
 
-  /** A value of marks, see {@link Marks}. */
-  public static String marks(int number) {
-    return ALL_MARKS + number;
-  }
-
-  /** A value of the roster, see {@link Roster}. */
-  public static String roster(int number) {
-    return ROSTERS + number;
-  }
-
   /** What a controller says of its build. */
   public static String member(String host) {
     return MEMBERS + host;
@@ -115,14 +99,14 @@
     return key.startsWith(LIVE);
   }
 
-  /** Whether the key holds marks. */
+  /** Whether the key holds marks, in the layout of any level. */
   public static boolean isMarks(String key) {
-    return key.startsWith(ALL_MARKS);
+    return RecordLayout.ofMarks(key).isPresent();
   }
 
-  /** Whether the key is a value of the roster. */
+  /** Whether the key is a value of the roster, in the layout of any level. */
   public static boolean isRoster(String key) {
-    return key.startsWith(ROSTERS);
+    return RecordLayout.ofRoster(key).isPresent();
   }
 
   /** Whether the key holds a record that a new leader must be able to read. */
--- a/src/main/java/io/pearscale/storage/Roster.java
+++ b/src/main/java/io/pearscale/storage/Roster.java
@@ -20,13 +20,14 @@
   /**
    * A machine of the roster.
    *
-   * @param place where it stands in its value; marks of tasks name machines by value and place
+   * @param number by which marks of tasks name it: in the layout by place where it stands in its
+   *     value, else a number of its own
    * @param address empty until the machine has reported
    * @param retiring whether it may be under deletion and must never be used again
    * @param maintenance whether it is in maintenance; not stored below level 1
    */
   public record Entry(
-      int place,
+      int number,
       String machine,
       String address,
       String type,
@@ -50,6 +51,11 @@
         + e.zone.length();
   }
 
+  /** How long an encoded value is as JSON. */
+  public static int length(JsonNode value) {
+    return value.toString().length();
+  }
+
   /** Encodes a value in the form of the level. */
   public static JsonNode encode(Collection<Entry> entries, int level) {
     ObjectNode value = MessagePack.map();
@@ -57,7 +63,7 @@
     for (Entry e : entries) {
       ArrayNode fields = list.addArray();
       fields
-          .add(e.place)
+          .add(e.number)
           .add(e.machine)
           .add(e.address)
           .add(e.type)
--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -16,6 +16,7 @@
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.Maintenance;
 import io.pearscale.storage.Marks;
+import io.pearscale.storage.RecordLayout;
 import io.pearscale.storage.ReplicaActor.Entry;
 import io.pearscale.storage.ReplicaActor.KeyChange;
 import io.pearscale.storage.Roster;
@@ -243,12 +244,14 @@
       } else {
         Roster.Entry e =
             hosts.stream().filter(h -> h.machine().equals(parts[1])).findFirst().orElseThrow();
-        on[task] = Marks.host(0, e.place(), PLACES);
+        on[task] = Marks.numberOfPlace(0, e.number(), PLACES);
       }
     }
     changed(
         "c/marks/" + marked++,
-        Optional.of(Marks.encode(List.of(new Marks.Part(job, 0, done, on, claim(job))))));
+        Optional.of(
+            Marks.encode(
+                List.of(new Marks.Part(job, 0, done, on, claim(job))), RecordLayout.BY_PLACE)));
   }
 
   /** As a leader writes it: what the tasks of a job take of their team's limit. */
@@ -278,7 +281,7 @@
     for (Map.Entry<String, JsonNode> value : world.state.under("c/roster/").entrySet()) {
       int number = Keys.number(value.getKey());
       for (Roster.Entry e : Roster.decode(value.getValue())) {
-        names.put(Marks.host(number, e.place(), PLACES), e.machine());
+        names.put(Marks.numberOfPlace(number, e.number(), PLACES), e.machine());
       }
     }
     for (JsonNode value : world.state.under("c/marks/").values()) {
