Raise the level by itself once all controllers are new, and serve under the limits to come

Need: a rollout in which nobody types a command, after which the state service takes smaller values and transactions and fewer changes a second.

Change: level 2 of stored forms: records by number, in values of 2 KiB. Each controller says what it supports without being told to; the leader raises the level in one step to the highest that all of them support (LevelRaiser), guarded by its term, the level and the stamps of their words. After an operator's rollback none is raised by itself (`held`); `(automatic-level off)` turns it off. Limits are the smaller of the platform's present and next ones. A job whose tasks can't be recorded in a value is refused with the reason, or told to come again where level 2 will take it. The shape of a job is a type of its own; one of shape `group` is answered 503 below level 2, keeps a build that does not know it from leading, and is placed as a batch until gangs are built.

Ruled out: one level after the other (what is stored larger than the coming limits can't be rewritten in between), learning the limits by being refused alone (starts would wait for it).

Tests: three scenarios of rollouts with smaller limits, before and after the level has risen, and of level 2 taken back. The stand-in for the state service now refuses what is too large, so a test of migrations has four jobs of 300 tasks in place of one of 1,200, whose record was longer than the value that the test allows.

--- a/src/main/java/io/pearscale/cli/OperationsReader.java
+++ b/src/main/java/io/pearscale/cli/OperationsReader.java
@@ -32,6 +32,7 @@
   private static final int SHORTEST_ANNOUNCEMENT = 5;
   private static final int LONGEST_ANNOUNCEMENT = 600;
   private static final int HIGHEST = 1000;
+  private static final String AUTOMATIC_LEVEL = "automatic-level";
   private static final String DRAINS = "drains";
   private static final String BUDGET = "budget";
   private static final String WINDOW = "window";
@@ -42,7 +43,8 @@
   private final List<DisruptionBudget> budgets = new ArrayList<>();
   private final Map<String, MaintenanceWindow> windows = new LinkedHashMap<>();
   private boolean drains;
-  private Optional<Duration> announceSupport = Optional.empty();
+  private Optional<Duration> announceSupport = Operations.standard().announceSupport();
+  private boolean automaticLevel = true;
   private int highestLevel = Integer.MAX_VALUE;
 
   private OperationsReader(Path file) {
@@ -50,7 +52,7 @@
   }
 
   static Operations read(Optional<Path> file) throws SettingsError {
-    return file.isEmpty() ? Operations.off() : new OperationsReader(file.get()).read();
+    return file.isEmpty() ? Operations.standard() : new OperationsReader(file.get()).read();
   }
 
   private Operations read() throws SettingsError {
@@ -66,6 +68,7 @@
     return new Operations(
         announceSupport,
         highestLevel,
+        automaticLevel,
         drains ? Optional.of(new DrainSettings(budgets, windows)) : Optional.empty());
   }
 
@@ -76,6 +79,12 @@
         announceSupport = Optional.of(Duration.ofSeconds(seconds));
       }
       case HIGHEST_LEVEL -> highestLevel = number(entry, 0, HIGHEST);
+      case AUTOMATIC_LEVEL -> {
+        if (!entry.equals(List.of(AUTOMATIC_LEVEL, "off"))) {
+          throw error(entry, "(automatic-level off)");
+        }
+        automaticLevel = false;
+      }
       case DRAINS -> {
         if (!entry.equals(List.of(DRAINS, "on"))) {
           throw error(entry, "(drains on)");
@@ -87,7 +96,14 @@
       default ->
           throw error(
               entry,
-              String.join(", ", ANNOUNCE_SUPPORT, HIGHEST_LEVEL, DRAINS, BUDGET, "or " + WINDOW));
+              String.join(
+                  ", ",
+                  ANNOUNCE_SUPPORT,
+                  HIGHEST_LEVEL,
+                  AUTOMATIC_LEVEL,
+                  DRAINS,
+                  BUDGET,
+                  "or " + WINDOW));
     }
   }
 
--- a/src/main/java/io/pearscale/cli/SettingsReader.java
+++ b/src/main/java/io/pearscale/cli/SettingsReader.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** Reads the platform's TOML. Keys that it doesn't know are passed over. */
 final class SettingsReader {
@@ -64,12 +65,9 @@
         new Settings.Workers(
             seconds(workers, "report_s", "facts.workers."),
             seconds(workers, "lease_s", "facts.workers."),
-            seconds(workers, "cancel_s", "facts.workers.")),
-        new Settings.State(
-            number(state, "rps", "facts.state.", 1),
-            number(state, "write_rps", "facts.state.", 1),
-            (int) (number(state, "value_kb", "facts.state.", 0.25) * 1024),
-            (int) number(state, "txn_ops", "facts.state.", 4)),
+            seconds(workers, "cancel_s", "facts.workers."),
+            gangTimes(workers)),
+        stateLimits(state),
         new Settings.Cloud(
             number(cloud, "rps", "facts.cloud.", 0.01),
             seconds(cloud, "list_lag_s", "facts.cloud.")),
@@ -77,6 +75,45 @@
         limit(facts, "cpu_share", LEAST_CPU_SHARE, WHOLE_CORE));
   }
 
+  /** Both times, or none: a gang can't be served with one of them. */
+  private Optional<Settings.GangTimes> gangTimes(JsonNode workers) throws SettingsError {
+    if (!workers.hasNonNull("gang_wait_s") && !workers.hasNonNull("gang_peer_s")) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new Settings.GangTimes(
+            seconds(workers, "gang_wait_s", "facts.workers."),
+            seconds(workers, "gang_peer_s", "facts.workers.")));
+  }
+
+  /**
+   * The limits that hold at any time: those that the state service has, and those that it may have
+   * from some moment on, without notice. What is larger than either would be refused some day.
+   */
+  private Settings.State stateLimits(JsonNode state) throws SettingsError {
+    String now = "facts.state.";
+    Settings.State limits = limits(state, state, now);
+    if (!state.hasNonNull("next")) {
+      return limits;
+    }
+    JsonNode next = table(state, "next", now);
+    return limits.smallerOf(limits(next, state, now + "next."));
+  }
+
+  /** Limits of a table; what it does not name is as in the other one. */
+  private Settings.State limits(JsonNode table, JsonNode otherwise, String where)
+      throws SettingsError {
+    return new Settings.State(
+        number(having("rps", table, otherwise), "rps", where, 1),
+        number(having("write_rps", table, otherwise), "write_rps", where, 1),
+        (int) (number(having("value_kb", table, otherwise), "value_kb", where, 0.25) * 1024),
+        (int) number(having("txn_ops", table, otherwise), "txn_ops", where, 4));
+  }
+
+  private static JsonNode having(String key, JsonNode table, JsonNode otherwise) {
+    return table.hasNonNull(key) ? table : otherwise;
+  }
+
   private Map<String, InetSocketAddress> peers(JsonNode root) throws SettingsError {
     Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
     for (JsonNode p : root.path("peers")) {
--- a/src/main/java/io/pearscale/cli/UpgradeView.java
+++ b/src/main/java/io/pearscale/cli/UpgradeView.java
@@ -4,20 +4,24 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pearscale.cli.StateSession.Stored;
+import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.Malformed;
 import io.pearscale.protocol.Settings;
 import io.pearscale.storage.Keys;
+import io.pearscale.storage.Marks;
 import io.pearscale.storage.RecordLayout;
 import io.pearscale.storage.Roster;
 import io.pearscale.storage.StateClient.Guard;
 import io.pearscale.transport.MessagePack;
 import io.pearscale.upgrade.ClusterLevel;
+import io.pearscale.upgrade.Feature;
 import io.pearscale.upgrade.LevelGate;
 import io.pearscale.upgrade.MemberSupport;
 import io.pearscale.upgrade.SupportedLevels;
 import io.pearscale.upgrade.UpgradePlan;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -52,8 +56,7 @@
     Optional<Stored> level = state.read(Keys.LEVEL);
     LevelGate gate = new LevelGate(build);
     gate.update(level.map(Stored::value), level.map(Stored::stamp).orElse(0L));
-    Set<String> hosts = new TreeSet<>(settings.peers().keySet());
-    hosts.add(settings.host());
+    Set<String> hosts = settings.hosts();
     Map<String, Stored> members = new TreeMap<>();
     state
         .list(Keys.MEMBERS)
@@ -63,6 +66,9 @@
       records.putAll(state.list(layout.rosterPrefix()));
       records.putAll(state.list(layout.marksPrefix()));
     }
+    Map<Feature, List<String>> unsayable = new EnumMap<>(Feature.class);
+    unsayable.put(Feature.MACHINE_MAINTENANCE, inMaintenance(records));
+    unsayable.putAll(jobsOfLaterLevels(state.list(Keys.LIVE_JOBS), settings));
     Optional<ClusterLevel> inForce = parse(level);
     return new UpgradeView(
         level,
@@ -71,7 +77,7 @@
         hosts,
         members,
         inForce.map(l -> pendingValues(records, l.written())).orElse(0),
-        inForce.map(l -> new UpgradePlan(l, hosts, supports(members), inMaintenance(records))),
+        inForce.map(l -> new UpgradePlan(l, hosts, supports(members), unsayable)),
         state.read(Keys.LEADER).map(stored -> stored.value().path("node").asText()),
         state.read(Keys.TERM).map(stored -> stored.value().path("term").asLong()).orElse(0L));
   }
@@ -118,6 +124,27 @@
         || Roster.levelOf(roster).orElse(written) == written;
   }
 
+  /** Jobs that an earlier level can't hold: gangs, and such as need larger values. */
+  private static Map<Feature, List<String>> jobsOfLaterLevels(
+      Map<String, Stored> jobs, Settings settings) {
+    RecordLayout earlier = RecordLayout.BY_PLACE;
+    List<String> gangs = new ArrayList<>();
+    List<String> large = new ArrayList<>();
+    jobs.forEach(
+        (key, stored) -> {
+          String id = Keys.name(key);
+          JsonNode spec = stored.value().path("spec");
+          int tasks = Math.min(earlier.partTasks(), spec.path("pieces").asInt());
+          if (JobSpec.isGang(spec)) {
+            gangs.add(id);
+          }
+          if (Marks.size(id, tasks, earlier) > settings.stateLimits().valueBytes()) {
+            large.add(id);
+          }
+        });
+    return Map.of(Feature.GANG_JOBS, gangs, Feature.SMALL_VALUES, large);
+  }
+
   private static List<String> inMaintenance(Map<String, Stored> records) {
     Set<String> names = new TreeSet<>();
     for (Map.Entry<String, Stored> record : records.entrySet()) {
--- a/src/main/java/io/pearscale/protocol/JobSpec.java
+++ b/src/main/java/io/pearscale/protocol/JobSpec.java
@@ -12,7 +12,7 @@
     String id,
     String jobClass,
     String team,
-    boolean service,
+    Shape shape,
     Priority priority,
     int tasks,
     double cpus,
@@ -30,6 +30,7 @@
     Duration save,
     Optional<Duration> deadline) {
 
+  private static final String SHAPE = "shape";
   private static final String ID_PREFIX = "wk-";
   private static final int LONGEST_ID = ID_PREFIX.length() + 64;
 
@@ -59,10 +60,9 @@
     if (!isId(id)) {
       throw new Malformed("uid: an id like wk-000412 expected");
     }
-    String shape = Fields.text(m, "shape");
-    if (!shape.equals("batch") && !shape.equals("service")) {
-      throw new Malformed("shape: batch or service expected");
-    }
+    Shape shape =
+        Shape.parse(Fields.text(m, SHAPE))
+            .orElseThrow(() -> new Malformed("shape: batch, service or group expected"));
     Priority priority =
         Priority.parse(Fields.text(m, "rank"))
             .orElseThrow(() -> new Malformed("rank: critical, high, normal or idle expected"));
@@ -72,7 +72,7 @@
         id,
         Fields.text(m, "lineup"),
         Fields.text(m, "crew"),
-        shape.equals("service"),
+        shape,
         priority,
         (int) Fields.integer(m, "pieces", 1, 100_000),
         Fields.amount(m, "vcpus"),
@@ -98,7 +98,7 @@
             .put("uid", id)
             .put("lineup", jobClass)
             .put("crew", team)
-            .put("shape", service ? "service" : "batch")
+            .put(SHAPE, shape.wire())
             .put("rank", priority.wire())
             .put("pieces", tasks)
             .put("vcpus", cpus)
@@ -122,6 +122,21 @@
     return n;
   }
 
+  /** Whether its tasks are replicas, which run until the job is cancelled. */
+  public boolean service() {
+    return shape == Shape.SERVICE;
+  }
+
+  /** Whether its tasks run all at the same time or not at all. */
+  public boolean gang() {
+    return shape == Shape.GANG;
+  }
+
+  /** Whether a stored job, which need not be readable otherwise, is a gang. */
+  public static boolean isGang(JsonNode stored) {
+    return stored.path(SHAPE).asText().equals(Shape.GANG.wire());
+  }
+
   /** Whether a machine of this type, zone and kind may run the job's tasks at all. */
   public boolean allows(MachineType type, String inZone, boolean onSpot) {
     return (spot || !onSpot)
--- a/src/main/java/io/pearscale/protocol/Settings.java
+++ b/src/main/java/io/pearscale/protocol/Settings.java
@@ -4,6 +4,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 
 /** The platform's settings of one controller. */
 public record Settings(
@@ -45,11 +48,33 @@
   /** What is expected of a class of jobs. */
   public record Objective(String kind, String jobClass, Duration within) {}
 
-  /** The workers' times. */
-  public record Workers(Duration report, Duration lease, Duration cancel) {}
+  /**
+   * The workers' times.
+   *
+   * @param gangs those of gang jobs; empty where the platform names none, and no gang is served
+   */
+  public record Workers(
+      Duration report, Duration lease, Duration cancel, Optional<GangTimes> gangs) {}
+
+  /**
+   * The workers' times for gang jobs.
+   *
+   * @param forming how long a task waits for the others of its attempt
+   * @param peerLoss in which time the loss of one is noticed, and all have to be told to stop
+   */
+  public record GangTimes(Duration forming, Duration peerLoss) {}
 
   /** The limits of the state service. */
-  public record State(double rps, double writeRps, int valueBytes, int txnOps) {}
+  public record State(double rps, double writeRps, int valueBytes, int txnOps) {
+    /** The smaller of both in each respect. */
+    public State smallerOf(State other) {
+      return new State(
+          Math.min(rps, other.rps),
+          Math.min(writeRps, other.writeRps),
+          Math.min(valueBytes, other.valueBytes),
+          Math.min(txnOps, other.txnOps));
+    }
+  }
 
   /** The limits of the cloud. */
   public record Cloud(double rps, Duration listLag) {}
@@ -80,6 +105,13 @@
     return time.compareTo(LONGEST_GRANT) > 0 ? LONGEST_GRANT : time;
   }
 
+  /** All controllers. */
+  public Set<String> hosts() {
+    Set<String> hosts = new TreeSet<>(peers.keySet());
+    hosts.add(host);
+    return hosts;
+  }
+
   /** How the sockets are divided. */
   public SocketShares sockets() {
     return SocketShares.of(maxConnections);
--- a/src/main/java/io/pearscale/scheduler/ApiActor.java
+++ b/src/main/java/io/pearscale/scheduler/ApiActor.java
@@ -9,6 +9,8 @@
 import io.pearscale.protocol.Settings;
 import io.pearscale.protocol.Settings.Team;
 import io.pearscale.storage.Keys;
+import io.pearscale.storage.Marks;
+import io.pearscale.storage.RecordLayout;
 import io.pearscale.storage.ReplicaActor;
 import io.pearscale.storage.ReplicaActor.Entry;
 import io.pearscale.storage.ReplicaActor.KeyChange;
@@ -20,6 +22,8 @@
 import io.pearscale.transport.HttpServer.Response;
 import io.pearscale.transport.Loop;
 import io.pearscale.transport.MessagePack;
+import io.pearscale.upgrade.Feature;
+import io.pearscale.upgrade.LevelGate;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -43,6 +47,9 @@
   private static final int MOST_LIVE = 20_000;
   private static final Duration SOON = Duration.ofSeconds(1);
 
+  /** The level rises within about a second of when the last controller says what it supports. */
+  private static final Duration UPGRADED_LATER = Duration.ofSeconds(2);
+
   /** What the actor understands. */
   public sealed interface Message {}
 
@@ -98,6 +105,7 @@
   private final ReplicaActor replica;
   private final Settings settings;
   private final InstantSource timeOfDay;
+  private final LevelGate level;
   private final Consumer<String> cancelled;
   private final Map<String, Team> teams = new HashMap<>();
   private final Map<String, JobCount> counts = new HashMap<>();
@@ -119,6 +127,7 @@
   /**
    * Answers from the state service and its replica.
    *
+   * @param level says whether gang jobs can be stored yet
    * @param cancelled is told of each job that users are about to be told as cancelled
    */
   public ApiActor(
@@ -127,12 +136,14 @@
       ReplicaActor replica,
       Settings settings,
       InstantSource timeOfDay,
+      LevelGate level,
       Consumer<String> cancelled) {
     super(loop);
     this.state = state;
     this.replica = replica;
     this.settings = settings;
     this.timeOfDay = timeOfDay;
+    this.level = level;
     this.cancelled = cancelled;
     settings.teams().forEach(t -> teams.put(t.name(), t));
   }
@@ -249,7 +260,13 @@
     if (t == null) {
       return refuse("unknown team");
     }
-    int n = s.service() ? s.tasks() : 1;
+    if (s.gang()) {
+      Optional<Response> refusal = judgeGang();
+      if (refusal.isPresent()) {
+        return refusal;
+      }
+    }
+    int n = s.service() || s.gang() ? s.tasks() : 1;
     if ((t.cpusMax() > 0 && n * s.cpus() > t.cpusMax() + 1e-6)
         || (t.gpusMax() > 0 && n * s.gpus() > t.gpusMax() + 1e-6)) {
       return refuse("beyond the team's limit");
@@ -257,12 +274,49 @@
     if (s.spread() && s.tasks() > 1 && (s.oneZone() || s.zone().isPresent())) {
       return refuse("tasks must spread over zones and stay in one");
     }
+    Optional<Response> unrecordable = judgeSize(s);
+    if (unrecordable.isPresent()) {
+      return unrecordable;
+    }
     if (types.stream().anyMatch(s::allowsSomewhere)) {
       return Optional.empty();
     }
     return refuse("no allowed machine type is large enough");
   }
 
+  /**
+   * A job whose tasks can't be recorded could never start one of them. Where a later level takes
+   * smaller parts of jobs, it is only a matter of time.
+   */
+  private Optional<Response> judgeSize(JobSpec s) {
+    int longest = settings.stateLimits().valueBytes();
+    if (longestRecord(s, RecordLayout.ofLevel(level.inForce().written())) <= longest) {
+      return Optional.empty();
+    }
+    return longestRecord(s, RecordLayout.BY_NUMBER) <= longest && level.knows(Feature.SMALL_VALUES)
+        ? Optional.of(Response.later(UPGRADED_LATER, "not all controllers take so many tasks yet"))
+        : refuse("its tasks can't be recorded in values of " + longest + " bytes");
+  }
+
+  private int longestRecord(JobSpec s, RecordLayout layout) {
+    Team team = teams.get(s.team());
+    int claim =
+        team != null && team.limited()
+            ? new Marks.Claim(s.team(), s.cpus(), s.gpus(), s.memoryGb()).size()
+            : 0;
+    return Marks.size(s.id(), Math.min(s.tasks(), layout.partTasks()), layout) + claim;
+  }
+
+  /** What stands against any gang job. */
+  private Optional<Response> judgeGang() {
+    if (settings.workers().gangs().isEmpty()) {
+      return refuse("the settings name no gang_wait_s and gang_peer_s: gangs are not served");
+    }
+    return level.isOn(Feature.GANG_JOBS)
+        ? Optional.empty()
+        : Optional.of(Response.later(UPGRADED_LATER, "not all controllers serve gangs yet"));
+  }
+
   private static Optional<Response> refuse(String why) {
     return Optional.of(Response.of(422, MessagePack.map().put("error", why)));
   }
--- a/src/main/java/io/pearscale/scheduler/Controller.java
+++ b/src/main/java/io/pearscale/scheduler/Controller.java
@@ -116,6 +116,7 @@
             replica,
             settings,
             timeOfDay,
+            level,
             job -> {
               sendAll(new PeerMessage.Cancelled(job));
               cancelled(job);
--- a/src/main/java/io/pearscale/scheduler/Job.java
+++ b/src/main/java/io/pearscale/scheduler/Job.java
@@ -2,6 +2,7 @@
 
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.Priority;
+import io.pearscale.protocol.Shape;
 import io.pearscale.storage.Marks;
 import java.time.Duration;
 import java.time.Instant;
@@ -146,7 +147,7 @@
             p.job(),
             "",
             claim.team(),
-            /* service= */ true,
+            Shape.SERVICE,
             Priority.IDLE,
             p.first() + p.hosts().length,
             claim.cpus(),
--- a/src/main/java/io/pearscale/scheduler/JobTable.java
+++ b/src/main/java/io/pearscale/scheduler/JobTable.java
@@ -5,6 +5,8 @@
 import io.pearscale.protocol.Settings.Team;
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.ReplicaActor.Entry;
+import io.pearscale.upgrade.Feature;
+import io.pearscale.upgrade.LevelGate;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -34,6 +36,7 @@
   private final Leadership leadership;
   private final InstantSource clock;
   private final InstantSource timeOfDay;
+  private final LevelGate level;
   private final Consumer<Job> added;
   private final Runnable requestPass;
   private final Map<String, Job> jobs = new LinkedHashMap<>();
@@ -47,6 +50,7 @@
    * Makes an empty table.
    *
    * @param timeOfDay on it, submissions carry their time
+   * @param level says which features this build has
    * @param added is told of each new job
    * @param requestPass asks for a pass over the jobs that wait
    */
@@ -55,12 +59,14 @@
       Leadership leadership,
       InstantSource clock,
       InstantSource timeOfDay,
+      LevelGate level,
       Consumer<Job> added,
       Runnable requestPass) {
     this.teams = teams;
     this.leadership = leadership;
     this.clock = clock;
     this.timeOfDay = timeOfDay;
+    this.level = level;
     this.added = added;
     this.requestPass = requestPass;
   }
@@ -92,6 +98,9 @@
   void add(String key, Entry entry) {
     try {
       JobSpec spec = JobSpec.parse(entry.value().path("spec"));
+      if (spec.gang() && !level.knows(Feature.GANG_JOBS)) {
+        throw new Malformed("a gang job, which this build must not serve");
+      }
       if (jobs.containsKey(spec.id()) || cancelled.contains(spec.id())) {
         return;
       }
--- a/src/main/java/io/pearscale/scheduler/LeaderComponents.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderComponents.java
@@ -5,6 +5,7 @@
 import io.pearscale.scheduler.SchedulerActor.Environment;
 import io.pearscale.scheduler.SchedulerActor.Listener;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,7 @@
   final MachineInventory inventory;
   final LeaderRecords records;
   final LeaderStatistics statistics;
+  final LevelRaiser raiser;
   final CommandDispatcher dispatcher;
   final ReportHandler reports;
   final MachineHealth health;
@@ -47,7 +49,9 @@
     Runnable requestPass = this::requestPass;
     leadership = new Leadership(clock, settings.hold());
     records = new LeaderRecords(settings.stateLimits(), env.level(), clock, this::requestCommit);
-    jobs = new JobTable(teams, leadership, clock, env.timeOfDay(), classes::note, requestPass);
+    jobs =
+        new JobTable(
+            teams, leadership, clock, env.timeOfDay(), env.level(), classes::note, requestPass);
     DecisionLog decisions = new DecisionLog(leadership, clock);
     inventory =
         new MachineInventory(
@@ -80,8 +84,8 @@
             dispatcher,
             recovery,
             drains);
-    List<TransactionSource> sources = drains.map(DrainCoordinator::sources).orElse(List.of());
-    writer = new RecordWriter(shared, env, sources, executor, dispatcher, retirement);
+    raiser = new LevelRaiser(env.level(), settings.hosts(), clock);
+    writer = new RecordWriter(shared, env, sources(env), executor, dispatcher, retirement);
     counts = new TaskCounts(jobs, listener::counts);
   }
 
@@ -102,6 +106,16 @@
                     retirement));
   }
 
+  /** What has more to write than the records of jobs and machines. */
+  private List<TransactionSource> sources(Environment env) {
+    List<TransactionSource> sources = new ArrayList<>();
+    if (env.operations().automaticLevel()) {
+      sources.add(raiser);
+    }
+    drains.ifPresent(coordinator -> sources.addAll(coordinator.sources()));
+    return sources;
+  }
+
   private void requestPass() {
     passes.request();
   }
--- a/src/main/java/io/pearscale/scheduler/LeaderTransaction.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderTransaction.java
@@ -179,7 +179,12 @@
     size += bytes;
   }
 
-  /** Adds the record of the level, once all records have the form that is written. */
+  /** Holds the transaction to a key that it rests on. */
+  void addGuard(String key, long stamp) {
+    guards.add(new Guard(key, stamp));
+  }
+
+  /** Adds the record of the level. */
   void addLevel(JsonNode record) {
     changes.add(Change.write(Keys.LEVEL, record));
     size += KEY_SIZE;
--- a/src/main/java/io/pearscale/scheduler/Operations.java
+++ b/src/main/java/io/pearscale/scheduler/Operations.java
@@ -10,12 +10,26 @@
  * @param announceSupport for how long a record of what this build supports outlives the process;
  *     empty when no such record is kept
  * @param highestLevel the highest level of stored state that this controller is to support
+ * @param automaticLevel whether this controller, while it leads, raises the level of stored state
+ *     by itself once all controllers support a higher one
  * @param drains budgets and windows; empty when drains are off
  */
 public record Operations(
-    Optional<Duration> announceSupport, int highestLevel, Optional<DrainSettings> drains) {
+    Optional<Duration> announceSupport,
+    int highestLevel,
+    boolean automaticLevel,
+    Optional<DrainSettings> drains) {
+  private static final Duration ANNOUNCED = Duration.ofSeconds(60);
+
+  /** What holds where no file says otherwise: a new release comes into force by itself. */
+  public static Operations standard() {
+    return new Operations(
+        Optional.of(ANNOUNCED), Integer.MAX_VALUE, /* automaticLevel= */ true, Optional.empty());
+  }
+
   /** Nothing is switched on. */
   public static Operations off() {
-    return new Operations(Optional.empty(), Integer.MAX_VALUE, Optional.empty());
+    return new Operations(
+        Optional.empty(), Integer.MAX_VALUE, /* automaticLevel= */ false, Optional.empty());
   }
 }
--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -174,6 +174,7 @@
     jobs.missingIn(m.all.keySet()).forEach(this::jobOver);
     jobs.forgetUnreadable();
     records.forgetStored();
+    parts.raiser.forgetStored();
     parts.drains.ifPresent(DrainCoordinator::forgetStored);
     m.all.forEach((key, entry) -> changed(new KeyChange(key, Optional.of(entry))));
     epoch = m.epoch;
@@ -203,6 +204,8 @@
       records.storedChanged(change);
     } else if (Keys.isDrain(key) || Keys.isDrainMachines(key) || Keys.isDisruptions(key)) {
       parts.drains.ifPresent(drains -> drains.storedChanged(change));
+    } else if (Keys.isMember(key)) {
+      parts.raiser.storedChanged(change);
     } else if (key.equals(Keys.CATALOGUE) && change.entry().isPresent()) {
       List<MachineType> types = MachineType.parseAll(change.entry().get().value());
       records.storedCatalogueIs(types);
--- a/src/main/java/io/pearscale/storage/Keys.java
+++ b/src/main/java/io/pearscale/storage/Keys.java
@@ -34,14 +34,16 @@
   private static final String DRAIN_STATUS = "c/drain-status/";
   private static final String DISRUPTIONS = "c/disrupted/";
 
-  private static final String LIVE = "c/live/";
+  /** All jobs that are not over. */
+  public static final String LIVE_JOBS = "c/live/";
+
   private static final String PAST = "p/";
 
   private Keys() {}
 
   /** A job that is not over. */
   public static String live(String job) {
-    return LIVE + job;
+    return LIVE_JOBS + job;
   }
 
   /** How a job ended. */
@@ -94,9 +96,14 @@
     return key.startsWith(DRAINS);
   }
 
+  /** Whether the key is what a controller says of its build. */
+  public static boolean isMember(String key) {
+    return key.startsWith(MEMBERS);
+  }
+
   /** Whether the key is a job that is not over. */
   public static boolean isLive(String key) {
-    return key.startsWith(LIVE);
+    return key.startsWith(LIVE_JOBS);
   }
 
   /** Whether the key holds marks, in the layout of any level. */
--- a/src/main/java/io/pearscale/upgrade/ClusterLevel.java
+++ b/src/main/java/io/pearscale/upgrade/ClusterLevel.java
@@ -13,14 +13,21 @@
  *     read it
  * @param written the level whose forms are written; below {@code level} while a step is taken back
  * @param migrated whether all records have the form of {@code written}
+ * @param held whether an operator has taken a step back: the level does not rise by itself
  */
-public record ClusterLevel(int level, int written, boolean migrated) {
+public record ClusterLevel(int level, int written, boolean migrated, boolean held) {
   /** In force where nothing is stored: the form from before there were levels. */
   public static final ClusterLevel UNVERSIONED = new ClusterLevel(0, 0, true);
 
   private static final String LEVEL = "level";
   private static final String WRITTEN = "written";
   private static final String MIGRATED = "migrated";
+  private static final String HELD = "held";
+
+  /** A level that may rise by itself. */
+  public ClusterLevel(int level, int written, boolean migrated) {
+    this(level, written, migrated, /* held= */ false);
+  }
 
   /** Reads the record; fields that a later release may add are passed over. */
   public static ClusterLevel parse(JsonNode value) throws Malformed {
@@ -28,18 +35,18 @@
     int level = (int) Fields.integer(map, LEVEL, 0, Integer.MAX_VALUE);
     int written = map.has(WRITTEN) ? (int) Fields.integer(map, WRITTEN, 0, level) : level;
     boolean migrated = map.has(MIGRATED) ? map.path(MIGRATED).asBoolean() : level == 0;
-    return new ClusterLevel(level, written, migrated);
+    return new ClusterLevel(level, written, migrated, map.path(HELD).asBoolean());
   }
 
   /** Adds the record's fields to what else is stored beside them. */
   public ObjectNode toNode(JsonNode stored) {
     ObjectNode node = stored.isObject() ? stored.deepCopy() : MessagePack.map();
-    return node.put(LEVEL, level).put(WRITTEN, written).put(MIGRATED, migrated);
+    return node.put(LEVEL, level).put(WRITTEN, written).put(MIGRATED, migrated).put(HELD, held);
   }
 
-  /** The level above, whose forms are written from now on. */
-  public ClusterLevel raised() {
-    return new ClusterLevel(level + 1, level + 1, false);
+  /** A higher level, whose forms are written from now on. */
+  public ClusterLevel raisedTo(int higher) {
+    return new ClusterLevel(higher, higher, false);
   }
 
   /** The level's own forms are written again, after a step that was to be taken back. */
@@ -49,12 +56,12 @@
 
   /** The forms of the level below are written; it comes into force when all records have them. */
   public ClusterLevel goingBack() {
-    return new ClusterLevel(level, level - 1, false);
+    return new ClusterLevel(level, level - 1, false, /* held= */ true);
   }
 
   /** All records have the form that is written. */
   public ClusterLevel completed() {
-    return new ClusterLevel(written, written, true);
+    return new ClusterLevel(written, written, true, held);
   }
 
   /** Whether a step is being taken back. */
--- a/src/main/java/io/pearscale/upgrade/Feature.java
+++ b/src/main/java/io/pearscale/upgrade/Feature.java
@@ -5,12 +5,20 @@
  */
 public enum Feature {
   /** The roster says of a machine whether it is being emptied for maintenance. */
-  MACHINE_MAINTENANCE(1);
+  MACHINE_MAINTENANCE(1, "can't say that machines are in maintenance: "),
+
+  /** Jobs whose tasks run all together. */
+  GANG_JOBS(2, "has no gang jobs: "),
+
+  /** Jobs of any size are recorded in values of 2 KiB. */
+  SMALL_VALUES(2, "can't record the tasks of these jobs in a value: ");
 
   private final int level;
+  private final String lacking;
 
-  Feature(int level) {
+  Feature(int level, String lacking) {
     this.level = level;
+    this.lacking = lacking;
   }
 
   /** The level that it needs. */
@@ -18,6 +26,11 @@
     return level;
   }
 
+  /** What a level below lacks, to be followed by names. */
+  String lacking() {
+    return lacking;
+  }
+
   /** Whether it may be used under the level. */
   public boolean isOn(ClusterLevel inForce) {
     return inForce.written() >= level;
--- a/src/main/java/io/pearscale/upgrade/LevelGate.java
+++ b/src/main/java/io/pearscale/upgrade/LevelGate.java
@@ -57,11 +57,26 @@
     return inForce;
   }
 
+  /** The levels that the build supports. */
+  public SupportedLevels supported() {
+    return supported;
+  }
+
+  /** Whether the build knows the feature, whichever level is in force. */
+  public boolean knows(Feature feature) {
+    return supported.contains(feature.level());
+  }
+
   /** Whether the feature may be used. */
   public boolean isOn(Feature feature) {
     return feature.isOn(inForce);
   }
 
+  /** The record of the level as it is stored; missing if there is none. */
+  public JsonNode stored() {
+    return stored;
+  }
+
   /** The record of the level once all records have the form that is written. */
   public ObjectNode completed() {
     return inForce.completed().toNode(stored);
--- a/src/main/java/io/pearscale/upgrade/SupportedLevels.java
+++ b/src/main/java/io/pearscale/upgrade/SupportedLevels.java
@@ -7,9 +7,10 @@
 public record SupportedLevels(int lowest, int highest) {
   /**
    * What this build supports. Level 0 is the form from before there were levels; level 1 says of
-   * each machine whether it is in maintenance.
+   * each machine whether it is in maintenance; level 2 has gang jobs, and records that fit small
+   * values.
    */
-  public static final SupportedLevels OF_THIS_BUILD = new SupportedLevels(0, 1);
+  public static final SupportedLevels OF_THIS_BUILD = new SupportedLevels(0, 2);
 
   /** Checks the range. */
   public SupportedLevels {
--- a/src/main/java/io/pearscale/upgrade/UpgradePlan.java
+++ b/src/main/java/io/pearscale/upgrade/UpgradePlan.java
@@ -13,13 +13,13 @@
  * @param inForce the level as it is stored
  * @param hosts all configured controllers
  * @param members what the controllers that run say of themselves
- * @param inMaintenance machines that the records say are in maintenance
+ * @param unsayable what the records say that can be said from a feature's level on only
  */
 public record UpgradePlan(
     ClusterLevel inForce,
     Set<String> hosts,
     Map<String, MemberSupport> members,
-    List<String> inMaintenance) {
+    Map<Feature, List<String>> unsayable) {
 
   /** What comes of a wish. */
   public sealed interface Outcome {}
@@ -53,7 +53,28 @@
     if (!reasons.isEmpty()) {
       return new Refusal(reasons);
     }
-    return new Change(inForce.isGoingBack() ? inForce.resumed() : inForce.raised());
+    return new Change(inForce.isGoingBack() ? inForce.resumed() : inForce.raisedTo(target));
+  }
+
+  /**
+   * Raises the level by itself, in one step to the highest that all controllers support, once each
+   * of them has said so. After an operator has taken a step back, none is taken by itself.
+   *
+   * @param build what the leader's own build supports
+   */
+  public Outcome automatic(SupportedLevels build) {
+    if (inForce.held()) {
+      return new Nothing("an operator has taken a step back");
+    }
+    int target = build.highest();
+    for (MemberSupport member : members.values()) {
+      target = Math.min(target, member.levels().highest());
+    }
+    if (target <= inForce.level() || !inForce.migrated()) {
+      return new Nothing("level " + inForce.level() + " stays in force");
+    }
+    List<String> reasons = objections(target, Set.of());
+    return reasons.isEmpty() ? new Change(inForce.raisedTo(target)) : new Refusal(reasons);
   }
 
   /** Takes the last step back: the records get the forms of the level below. */
@@ -75,13 +96,12 @@
             reasons.add(host + " supports " + member.levels() + ", not level " + target);
           }
         });
-    if (target < Feature.MACHINE_MAINTENANCE.level() && !inMaintenance.isEmpty()) {
-      reasons.add(
-          "level "
-              + target
-              + " can't say that machines are in maintenance: "
-              + String.join(", ", inMaintenance));
-    }
+    unsayable.forEach(
+        (feature, what) -> {
+          if (target < feature.level() && !what.isEmpty()) {
+            reasons.add("level " + target + " " + feature.lacking() + String.join(", ", what));
+          }
+        });
     return reasons.isEmpty() ? new Change(inForce.goingBack()) : new Refusal(reasons);
   }
 
--- a/src/test/java/io/pearscale/cli/SettingsTest.java
+++ b/src/test/java/io/pearscale/cli/SettingsTest.java
@@ -43,7 +43,7 @@
                 + "(window night America/Costa_Rica mon,FRI 22:00 04:00)");
     assertEquals(2, drains.drains().orElseThrow().budgets().size());
     assertEquals(2, drains.drains().get().windows().get("night").days().size());
-    assertEquals(Operations.off(), operations(""));
+    assertEquals(Operations.standard(), operations(""));
     for (String bad :
         new String[] {
           "(drains)",
--- a/src/test/java/io/pearscale/coordination/GrantKeeperTest.java
+++ b/src/test/java/io/pearscale/coordination/GrantKeeperTest.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
@@ -77,7 +78,11 @@
         "state",
         List.of(),
         List.of(),
-        new Settings.Workers(Duration.ofSeconds(2), Duration.ofSeconds(16), Duration.ofSeconds(36)),
+        new Settings.Workers(
+            Duration.ofSeconds(2),
+            Duration.ofSeconds(16),
+            Duration.ofSeconds(36),
+            Optional.empty()),
         new Settings.State(100, 60, 8192, 24),
         new Settings.Cloud(4, Duration.ofSeconds(10)),
         1000,
--- a/src/test/java/io/pearscale/scheduler/CloudActorTest.java
+++ b/src/test/java/io/pearscale/scheduler/CloudActorTest.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
@@ -95,7 +96,7 @@
         "state",
         List.of(),
         List.of(),
-        new Settings.Workers(second, second, second),
+        new Settings.Workers(second, second, second, Optional.empty()),
         new Settings.State(100, 50, 8192, 24),
         new Settings.Cloud(RATE, Duration.ofSeconds(12)),
         1000,
--- a/src/test/java/io/pearscale/scheduler/SpareRoomTest.java
+++ b/src/test/java/io/pearscale/scheduler/SpareRoomTest.java
@@ -6,6 +6,7 @@
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Priority;
+import io.pearscale.protocol.Shape;
 import io.pearscale.protocol.TaskId;
 import io.pearscale.scheduler.Machine.Life;
 import io.pearscale.scheduler.Placement.Stage;
@@ -27,7 +28,7 @@
         "wk-1",
         "web",
         "t",
-        true,
+        Shape.SERVICE,
         priority,
         100_000,
         cpus,
--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -10,6 +10,7 @@
 import io.pearscale.protocol.Report;
 import io.pearscale.protocol.ReportAnswer;
 import io.pearscale.protocol.Settings;
+import io.pearscale.protocol.Shape;
 import io.pearscale.scheduler.Operations;
 import io.pearscale.scheduler.SchedulerActor;
 import io.pearscale.scheduler.Tuning;
@@ -31,6 +32,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -127,6 +129,7 @@
     return new Operations(
         Optional.empty(),
         Operations.off().highestLevel(),
+        /* automaticLevel= */ false,
         Optional.of(new DrainSettings(List.of(), Map.of())));
   }
 
@@ -316,7 +319,7 @@
     Map<String, String> o = new HashMap<>();
     w.subList(3, w.size())
         .forEach(x -> o.put(x.split("=")[0], x.contains("=") ? x.split("=")[1] : "true"));
-    JobSpec spec = Scenario.job(w.get(1), w.get(2).equals("service"), o);
+    JobSpec spec = Scenario.job(w.get(1), Shape.valueOf(w.get(2).toUpperCase(Locale.ROOT)), o);
     ObjectNode v = World.map().put("at", world.now.toEpochMilli());
     v.set("spec", spec.toNode());
     changed("c/live/" + w.get(1), Optional.of(v));
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -8,9 +8,9 @@
 import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Priority;
 import io.pearscale.protocol.Settings;
+import io.pearscale.protocol.Shape;
 import io.pearscale.protocol.TaskId;
 import io.pearscale.scheduler.Operations;
-import io.pearscale.upgrade.ClusterLevel;
 import io.pearscale.upgrade.SupportedLevels;
 import java.time.Duration;
 import java.time.Instant;
@@ -19,6 +19,7 @@
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
@@ -78,6 +79,14 @@
     return options;
   }
 
+  private static Settings.State limits(Map<String, String> o) {
+    return new Settings.State(
+        number(o, "rps", 100),
+        number(o, "writes", 60),
+        (int) number(o, "value", 8192),
+        (int) number(o, "txn", 24));
+  }
+
   private static double number(Map<String, String> options, String key, double otherwise) {
     return Double.parseDouble(options.getOrDefault(key, Double.toString(otherwise)));
   }
@@ -96,12 +105,17 @@
         }
       }
       case "build" -> build(w);
-      case "value-bytes" -> world.valueBytes = Integer.parseInt(w.get(1));
+      case "value-bytes" -> {
+        world.valueBytes = Integer.parseInt(w.get(1));
+        world.state.valueBytes = world.valueBytes;
+      }
+      case "next-limits" -> world.nextLimits = Optional.of(limits(o));
       case "announce" ->
           world.operations =
               new Operations(
                   Optional.of(seconds(w.get(1))),
                   world.operations.highestLevel(),
+                  o.containsKey("automatic"),
                   world.operations.drains());
       case "budget" -> world.disruptions.add(budget(w));
       case "unchecked-budget" -> budget(w);
@@ -168,13 +182,14 @@
         zones);
   }
 
-  static JobSpec job(String id, boolean service, Map<String, String> o) {
+  static JobSpec job(String id, Shape shape, Map<String, String> o) {
     return new JobSpec(
         id,
         o.getOrDefault("class", "any"),
         o.getOrDefault("team", "t"),
-        service,
-        Priority.parse(o.getOrDefault("priority", service ? "critical" : "normal")).orElseThrow(),
+        shape,
+        Priority.parse(o.getOrDefault("priority", shape == Shape.SERVICE ? "critical" : "normal"))
+            .orElseThrow(),
         (int) number(o, "tasks", 1),
         number(o, "cpus", 1),
         0,
@@ -290,9 +305,17 @@
               DrainRequest.withWish(
                   world.state.under("c/drain/" + w.get(1)).get("c/drain/" + w.get(1)),
                   DrainRequest.Wish.valueOf(w.get(2))));
-      case "level-back" ->
-          world.state.set(
-              "c/level", World.map().put("level", 1).put("written", 0).put("migrated", false));
+      case "level-back" -> {
+        int level = world.state.level().level();
+        world.state.set("c/level", world.state.level().goingBack().toNode(World.map()));
+        world.note("level " + level + " is taken back");
+      }
+      case "limits" -> {
+        Settings.State limits = limits(options(w.subList(1, w.size())));
+        world.state.valueBytes = limits.valueBytes();
+        world.state.txnOps = limits.txnOps();
+        world.state.writeRate = Optional.of(limits.writeRps());
+      }
       case "at-commit" -> world.state.troubleAtCommit(Integer.parseInt(w.get(1)), w.get(2));
       case "damage" -> world.state.damage(w.get(1));
       case "repair" -> world.state.repair(w.get(1));
@@ -341,6 +364,7 @@
         new Operations(
             world.operations.announceSupport(),
             world.operations.highestLevel(),
+            world.operations.automaticLevel(),
             Optional.of(new DrainSettings(budgets, Map.of())));
     return budget;
   }
@@ -376,7 +400,7 @@
   /** A user submits a job, as the words of a scenario's line say. */
   static void submit(World world, List<String> w) {
     Map<String, String> o = options(w.subList(3, w.size()));
-    JobSpec spec = job(w.get(1), w.get(2).equals("service"), o);
+    JobSpec spec = job(w.get(1), Shape.valueOf(w.get(2).toUpperCase(Locale.ROOT)), o);
     SimUser user =
         new SimUser(
             world,
@@ -446,11 +470,8 @@
       good = world.repeats <= Integer.parseInt(w.get(2));
     } else if (w.get(0).equals("level")) {
       good =
-          world
-              .state
-              .level()
-              .equals(
-                  new ClusterLevel(Integer.parseInt(w.get(1)), Integer.parseInt(w.get(1)), true));
+          world.state.level().migrated()
+              && world.state.level().level() == Integer.parseInt(w.get(1));
     } else if (w.get(0).equals("drain")) {
       good = world.state.holds("c/drain-status/" + w.get(1), "\"state\":\"" + w.get(2) + "\"");
     } else if (w.get(0).equals("voluntary-stops")) {
--- a/src/test/java/io/pearscale/sim/SimNode.java
+++ b/src/test/java/io/pearscale/sim/SimNode.java
@@ -2,12 +2,14 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pearscale.scheduler.Controller;
+import io.pearscale.scheduler.Operations;
 import io.pearscale.scheduler.Tuning;
 import io.pearscale.transport.Body;
 import io.pearscale.transport.Calls;
 import io.pearscale.transport.Links;
 import io.pearscale.transport.Loop;
 import io.pearscale.transport.MessagePack;
+import io.pearscale.upgrade.Feature;
 import io.pearscale.upgrade.SupportedLevels;
 import java.time.Duration;
 import java.time.Instant;
@@ -219,6 +221,13 @@
         });
   }
 
+  /** Builds from before level 2 say nothing of themselves unless they are told to. */
+  private Operations operations() {
+    return running.contains(Feature.GANG_JOBS.level()) || !world.operations.automaticLevel()
+        ? world.operations
+        : Operations.off();
+  }
+
   private void sending(Runnable message) {
     freezesAtNextSend.ifPresent(this::freezeNow);
     freezesAtNextSend = Optional.empty();
@@ -261,7 +270,7 @@
             p,
             world.settings(name),
             supported,
-            new Controller.Options(Tuning.defaults(), world.operations),
+            new Controller.Options(Tuning.defaults(), operations()),
             RandomGeneratorFactory.of("L64X128MixRandom").create(world.random.nextLong()),
             () -> world.now);
     controller.start();
--- a/src/test/java/io/pearscale/sim/SimState.java
+++ b/src/test/java/io/pearscale/sim/SimState.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pearscale.protocol.Malformed;
+import io.pearscale.storage.RecordLayout;
 import io.pearscale.storage.Roster;
 import io.pearscale.transport.Calls.Reply;
 import io.pearscale.upgrade.ClusterLevel;
@@ -53,6 +54,17 @@
 
   Duration lateBy = Duration.ofSeconds(5);
 
+  /** Its limits: how long a value and how large a transaction may be. */
+  int valueBytes = 8192;
+
+  int txnOps = 24;
+
+  /** Changes a second that it takes; it does not count them before the limits are lowered. */
+  Optional<Double> writeRate = Optional.empty();
+
+  private double writeTokens;
+  private Instant tokensAt = World.START;
+
   private int troubleIn;
   private String trouble = "";
 
@@ -212,6 +224,14 @@
         return;
       }
     }
+    if (refusesSize(body)) {
+      answer.accept(new Reply(400, World.map().put("error", "too large")));
+      return;
+    }
+    if (overRate(body.path("then").size())) {
+      answer.accept(new Reply(429, World.map()));
+      return;
+    }
     checkLevel(from);
     epoch++;
     for (JsonNode c : body.path("then")) {
@@ -229,9 +249,40 @@
     answer.accept(ok(World.map().put("epoch", epoch)));
   }
 
+  private boolean refusesSize(JsonNode body) {
+    boolean tooLong = false;
+    for (JsonNode change : body.path("then")) {
+      tooLong |= change.path("value").toString().length() > valueBytes;
+    }
+    return tooLong || body.path("then").size() > txnOps;
+  }
+
+  /** Bursts of one second's worth are taken. */
+  private boolean overRate(int changes) {
+    if (writeRate.isEmpty()) {
+      return false;
+    }
+    double passed = Duration.between(tokensAt, world.now).toMillis() / 1000.0;
+    writeTokens = Math.min(writeRate.get(), writeTokens + passed * writeRate.get());
+    tokensAt = world.now;
+    if (writeTokens < changes) {
+      return true;
+    }
+    writeTokens -= changes;
+    return false;
+  }
+
   /** No record has a later form than the level in force, nor another one once all are migrated. */
   private void checkForms() {
     ClusterLevel level = level();
+    boolean byNumberOnly = level.migrated() && level.level() >= 2;
+    for (RecordLayout layout : RecordLayout.values()) {
+      boolean mayStand = layout == RecordLayout.BY_PLACE ? !byNumberOnly : level.level() >= 2;
+      if (!mayStand
+          && !(under(layout.marksPrefix()).isEmpty() && under(layout.rosterPrefix()).isEmpty())) {
+        world.breaks("form_of_other_level", layout + " at " + level);
+      }
+    }
     under("c/roster/")
         .forEach(
             (key, value) -> {
--- a/src/test/java/io/pearscale/sim/UpgradeStepsTest.java
+++ b/src/test/java/io/pearscale/sim/UpgradeStepsTest.java
@@ -56,7 +56,10 @@
         machines small a ordinary 150
         machines small b ordinary 150
         team t
-        at 2 submit wk-1 service tasks=1200 cpus=2
+        at 2 submit wk-1 service tasks=300 cpus=2
+        at 2 submit wk-2 service tasks=300 cpus=2
+        at 2 submit wk-3 service tasks=300 cpus=2
+        at 2 submit wk-4 service tasks=300 cpus=2
         until 120
         """;
     Scenario scenario = Scenario.of(text, 1);
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -8,6 +8,7 @@
 import io.pearscale.scheduler.Operations;
 import io.pearscale.transport.Calls.Reply;
 import io.pearscale.transport.MessagePack;
+import io.pearscale.upgrade.Feature;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
@@ -39,6 +40,7 @@
       new PriorityQueue<>(
           (a, b) -> a.at.equals(b.at) ? Long.compare(a.order, b.order) : a.at.compareTo(b.at));
   private long order;
+  private static final int TXN_OPS = 24;
   private static final Duration WAIT = Duration.ofSeconds(90);
   static final Instant START = Instant.EPOCH.plusSeconds(1000);
   Instant now = START;
@@ -81,10 +83,15 @@
   Duration report = Duration.ofSeconds(2);
   Duration lease = Duration.ofSeconds(16);
   Duration cancel = Duration.ofSeconds(36);
+  Duration gangForming = Duration.ofSeconds(40);
+  Duration gangPeerLoss = Duration.ofSeconds(6);
 
   /** How long a value of the state service may be. */
   int valueBytes = 8192;
 
+  /** The limits that the settings say the state service will have some day. */
+  Optional<Settings.State> nextLimits = Optional.empty();
+
   /** The part of a core that the settings give each controller. */
   double cpuShare = 1;
 
@@ -318,13 +325,21 @@
         "state",
         teams,
         objectives,
-        new Settings.Workers(report, lease, cancel),
-        new Settings.State(100, 60, valueBytes, 24),
+        new Settings.Workers(
+            report, lease, cancel, Optional.of(new Settings.GangTimes(gangForming, gangPeerLoss))),
+        stateLimits(host),
         new Settings.Cloud(SimCloud.RATE, cloud.lag),
         1000,
         cpuShare);
   }
 
+  /** Builds from before level 2 know nothing of what the limits will be. */
+  private Settings.State stateLimits(String host) {
+    Settings.State now = new Settings.State(100, 60, valueBytes, TXN_OPS);
+    boolean knowsNext = nodes.get(host).supported.contains(Feature.SMALL_VALUES.level());
+    return knowsNext ? nextLimits.map(now::smallerOf).orElse(now) : now;
+  }
+
   // ---- Rules about tasks ----
 
   /** A task's run on a machine, as the rules count it. */
--- a/src/test/java/io/pearscale/upgrade/UpgradePlanTest.java
+++ b/src/test/java/io/pearscale/upgrade/UpgradePlanTest.java
@@ -28,7 +28,7 @@
   private static UpgradePlan plan(ClusterLevel level, Map<String, SupportedLevels> seen) {
     Map<String, MemberSupport> members = new TreeMap<>();
     seen.forEach((host, levels) -> members.put(host, new MemberSupport(levels, 1, "r")));
-    return new UpgradePlan(level, HOSTS, members, List.of());
+    return new UpgradePlan(level, HOSTS, members, Map.of());
   }
 
   private static final Map<String, SupportedLevels> ALL_NEW = Map.of("a", NEW, "b", NEW, "c", NEW);
@@ -77,7 +77,7 @@
 
   @Test
   void aStepIsTakenBackAndTakenAgain() {
-    ClusterLevel back = new ClusterLevel(1, 0, false);
+    ClusterLevel back = new ClusterLevel(1, 0, false, true);
     assertEquals(new Change(back), plan(RAISED, ALL_NEW).rollback(NEW));
     assertEquals(
         new Change(back), plan(new ClusterLevel(1, 1, false), ALL_NEW).rollback(NEW), "midway");
@@ -85,12 +85,14 @@
     assertEquals(
         new Change(new ClusterLevel(1, 1, false)), plan(back, ALL_NEW).finalise(NEW, Set.of()));
     assertInstanceOf(Nothing.class, plan(ClusterLevel.UNVERSIONED, ALL_NEW).rollback(NEW));
-    assertEquals(ClusterLevel.UNVERSIONED, back.completed());
+    assertEquals(new ClusterLevel(0, 0, true, true), back.completed());
   }
 
   @Test
   void whatTheLevelBelowCantSayHoldsARollbackUp() {
-    UpgradePlan plan = new UpgradePlan(RAISED, HOSTS, Map.of(), List.of("m-7"));
+    UpgradePlan plan =
+        new UpgradePlan(
+            RAISED, HOSTS, Map.of(), Map.of(Feature.MACHINE_MAINTENANCE, List.of("m-7")));
     refused(plan.rollback(NEW), "level 0 can't say that machines are in maintenance: m-7");
     SupportedLevels later = new SupportedLevels(1, 1);
     refused(plan(RAISED, Map.of("a", later)).rollback(NEW), "a supports 1, not level 0");
@@ -102,7 +104,7 @@
     ObjectNode stored = MessagePack.map().put("level", 1).put("later", "x");
     ObjectNode next = ClusterLevel.parse(stored).goingBack().toNode(stored);
     assertEquals("x", next.path("later").asText());
-    assertEquals(new ClusterLevel(1, 0, false), ClusterLevel.parse(next));
+    assertEquals(new ClusterLevel(1, 0, false, true), ClusterLevel.parse(next));
   }
 
   @Test
