--- /dev/null
+++ b/src/main/java/io/pearscale/gang/GangAttempt.java
@@ -0,0 +1,167 @@
+package io.pearscale.gang;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * The present attempt of a gang job, as its leader knows it. Workers tell an attempt by its number
+ * alone, so a task that is lost before the others have begun may be replaced under the same number;
+ * after that an attempt that lost a task is over, and the next one begins when the last of its
+ * tasks is proven gone.
+ *
+ * <p>A new leader finds tasks whose attempt it does not know. It concludes nothing before each of
+ * them has been shown by a message or proven gone.
+ */
+public final class GangAttempt {
+  /** What an attempt is at. */
+  public enum Phase {
+    /** No task is, or may be, on any machine. */
+    VACANT,
+    /** Tasks of a former leader have yet to be shown. */
+    UNKNOWN,
+    /** Tasks are started, fetch images and wait for each other. */
+    FORMING,
+    /** All run. */
+    RUNNING,
+    /** It is over, and its tasks are going. */
+    ENDING
+  }
+
+  /** What is to be done for the gang. */
+  public enum Action {
+    /** Nothing, but to wait. */
+    NONE,
+    /** All its tasks are to be started, under a new number. */
+    START,
+    /** Tasks that are missing are to be started, under the attempt's number. */
+    COMPLETE,
+    /** All that is left of it is to stop at once. */
+    END
+  }
+
+  /** Before their time is over, waiting tasks must hear of a replacement that has its image. */
+  private static final Duration REPLACEMENT = Duration.ofSeconds(5);
+
+  private static final long NO_NUMBER = -1;
+
+  private final int tasks;
+  private final Duration forming;
+  private Phase phase = Phase.VACANT;
+  private long number = NO_NUMBER;
+  private Instant since = Instant.MIN;
+  private boolean broken;
+  private int ended;
+
+  /**
+   * A gang of which no attempt is known.
+   *
+   * @param tasks how many tasks it has
+   * @param forming how long a task waits for the others
+   */
+  public GangAttempt(int tasks, Duration forming) {
+    this.tasks = tasks;
+    this.forming = forming;
+  }
+
+  /** A new attempt is started, under that number. */
+  public void begin(long attempt, Instant now) {
+    phase = Phase.FORMING;
+    number = attempt;
+    since = now;
+    broken = false;
+  }
+
+  /**
+   * A task of the attempt has exited for the others' sake: it waited for them for too long, or one
+   * of them is gone. The attempt will not come to its end.
+   */
+  public void noteBroken(long attempt) {
+    broken |= attempt == number;
+  }
+
+  /** All tasks that are on machines are told to stop. */
+  public void noteEnding() {
+    if (phase != Phase.VACANT) {
+      phase = Phase.ENDING;
+    }
+  }
+
+  /** What is to be done, given all of its tasks that are, or may be, on a machine. */
+  public Action next(Collection<Member> members, Instant now) {
+    Phase before = phase;
+    phase = phaseOf(members, now);
+    ended += before == Phase.ENDING && phase == Phase.VACANT ? 1 : 0;
+    return switch (phase) {
+      case VACANT -> Action.START;
+      case FORMING ->
+          members.size() < tasks && nobodyStops(members) ? Action.COMPLETE : Action.NONE;
+      case ENDING -> nobodyRemains(members) ? Action.NONE : Action.END;
+      default -> Action.NONE;
+    };
+  }
+
+  private Phase phaseOf(Collection<Member> members, Instant now) {
+    if (members.isEmpty()) {
+      number = NO_NUMBER;
+      broken = false;
+      return Phase.VACANT;
+    }
+    if (phase == Phase.ENDING) {
+      return phase;
+    }
+    if (!members.stream().allMatch(Member::isKnown)) {
+      return Phase.UNKNOWN;
+    }
+    if (phase == Phase.UNKNOWN || phase == Phase.VACANT) {
+      adopt(members, now);
+    }
+    boolean ofOthers = members.stream().anyMatch(member -> member.attempt() != number);
+    if (broken || ofOthers) {
+      return Phase.ENDING;
+    }
+    boolean complete = members.size() >= tasks;
+    if (phase == Phase.RUNNING || members.stream().anyMatch(m -> m.stage().hasBegun())) {
+      return complete ? Phase.RUNNING : Phase.ENDING;
+    }
+    return complete || now.isBefore(replaceableUntil()) ? Phase.FORMING : Phase.ENDING;
+  }
+
+  /** Takes over what a former leader has started. */
+  private void adopt(Collection<Member> members, Instant now) {
+    Set<Long> numbers = members.stream().map(Member::attempt).collect(Collectors.toSet());
+    number = numbers.iterator().next();
+    since = now;
+    phase = Phase.FORMING;
+  }
+
+  private Instant replaceableUntil() {
+    return since.plus(forming).minus(REPLACEMENT);
+  }
+
+  private static boolean nobodyStops(Collection<Member> members) {
+    return members.stream().noneMatch(Member::stopping);
+  }
+
+  private static boolean nobodyRemains(Collection<Member> members) {
+    return members.stream().allMatch(Member::stopping);
+  }
+
+  /** What the attempt was at when it was last looked at. */
+  public Phase phase() {
+    return phase;
+  }
+
+  /** The number under which tasks may be started; empty when there is no attempt. */
+  public Optional<Long> number() {
+    return number == NO_NUMBER ? Optional.empty() : Optional.of(number);
+  }
+
+  /** How many attempts have ended without completing the job. */
+  public int ended() {
+    return ended;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/gang/OrderlyStop.java
@@ -0,0 +1,34 @@
+package io.pearscale.gang;
+
+import java.time.Duration;
+import java.util.Collection;
+
+/**
+ * Decides before the first stop of a gang is sent whether its tasks are asked to save. They save
+ * only if all are told within the workers' time, so if one can't be reached now, none is asked: the
+ * others would wait for it in vain, and keep their room meanwhile.
+ */
+public final class OrderlyStop {
+  /**
+   * What is known of a task that is to stop.
+   *
+   * @param running whether it runs; one that does not has nothing to save
+   * @param reachable whether its machine can be told now
+   */
+  public record Reach(boolean running, boolean reachable) {}
+
+  private OrderlyStop() {}
+
+  /**
+   * Whether the tasks are to save.
+   *
+   * @param tasks how many tasks the gang has
+   * @param left how long all of them may still run
+   * @param save how long saving takes, and zero where the job never saves
+   */
+  public static boolean saves(Collection<Reach> members, int tasks, Duration left, Duration save) {
+    return members.size() == tasks
+        && left.compareTo(save) > 0
+        && members.stream().allMatch(member -> member.running && member.reachable);
+  }
+}
--- a/src/main/java/io/pearscale/protocol/PeerMessage.java
+++ b/src/main/java/io/pearscale/protocol/PeerMessage.java
@@ -15,6 +15,12 @@
   /** The record format, see {@link PeerVersions}. */
   int VERSION = 3;
 
+  /**
+   * What the cause of a task says that fetches no image, but waits for the others of its gang. For
+   * builds that know of no gangs it is one that fetches; a stage of its own they could not read.
+   */
+  String WAITING = "waiting";
+
   /**
    * Sent all the time.
    *
@@ -224,11 +230,23 @@
     for (Report.TaskReport t : r.tasks()) {
       write(out, t.task());
       out.writeLong(t.attempt());
-      out.writeByte(t.stage().ordinal());
-      out.writeUTF(t.cause());
+      boolean waiting = t.stage() == Report.Stage.WAITING;
+      out.writeByte(waiting ? Report.Stage.FETCHING.ordinal() : t.stage().ordinal());
+      out.writeUTF(waiting ? WAITING : t.cause());
     }
   }
 
+  private static Report.TaskReport readTaskReport(DataInputStream in)
+      throws IOException, Malformed {
+    TaskId task = readTask(in);
+    long attempt = in.readLong();
+    Report.Stage stage = pick(Report.Stage.values(), in.readByte());
+    String cause = in.readUTF();
+    return stage == Report.Stage.FETCHING && cause.equals(WAITING)
+        ? new Report.TaskReport(task, attempt, Report.Stage.WAITING, "")
+        : new Report.TaskReport(task, attempt, stage, cause);
+  }
+
   private static Report readReport(DataInputStream in) throws IOException, Malformed {
     String machine = in.readUTF();
     String address = in.readUTF();
@@ -241,12 +259,7 @@
     long notice = in.readLong();
     List<Report.TaskReport> tasks = new ArrayList<>();
     for (int n = count(in); n > 0; n--) {
-      tasks.add(
-          new Report.TaskReport(
-              readTask(in),
-              in.readLong(),
-              pick(Report.Stage.values(), in.readByte()),
-              in.readUTF()));
+      tasks.add(readTaskReport(in));
     }
     return new Report(
         machine,
--- a/src/main/java/io/pearscale/protocol/Report.java
+++ b/src/main/java/io/pearscale/protocol/Report.java
@@ -24,11 +24,14 @@
     FETCHING,
     RUNNING,
     FLUSHING,
-    ENDED;
+    ENDED,
+    /** Of a gang: it has its image, and waits for the others. */
+    WAITING;
 
     static Stage parse(String text) throws Malformed {
       return switch (text) {
-        case "fetching", "waiting" -> FETCHING;
+        case "fetching" -> FETCHING;
+        case "waiting" -> WAITING;
         case "running" -> RUNNING;
         case "flushing" -> FLUSHING;
         case "ended" -> ENDED;
--- a/src/main/java/io/pearscale/scheduler/CommandDispatcher.java
+++ b/src/main/java/io/pearscale/scheduler/CommandDispatcher.java
@@ -194,7 +194,7 @@
     }
     Machine.Room room = null;
     for (Placement p : List.copyOf(m.placements.values())) {
-      boolean durable = p.stage == Stage.PLANNED && p.marked;
+      boolean durable = p.stage == Stage.PLANNED && p.marked && Gangs.mayStart(p.job);
       if (!durable || mayBeCalledBusy(m, p, cleared)) {
         continue;
       }
--- a/src/main/java/io/pearscale/scheduler/Fleet.java
+++ b/src/main/java/io/pearscale/scheduler/Fleet.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 
 /**
@@ -89,7 +90,7 @@
       }
     }
     Headroom headroom = headroom(v, usable);
-    List<Renter.Demand> demands = demands(v);
+    List<Renter.Demand> demands = demands(v, usable);
     demands.addAll(headroom.demands());
     demands.addAll(v.replacements);
     Map<Kind, Integer> hires =
@@ -105,18 +106,20 @@
   }
 
   /** What waits for room. */
-  private List<Renter.Demand> demands(View v) {
+  private List<Renter.Demand> demands(View v, List<Machine> usable) {
     // Like tasks are asked for as one.
     Map<Like, Renter.Demand> demands = new LinkedHashMap<>();
     Map<String, Placer.Use> uses = v.uses;
     for (Job j : v.waiting) {
       // What the team's limit keeps waiting would wait on rented machines as well.
       int tasks = Math.min(j.pending(), Placer.leftWithinLimit(teams, uses, j.spec));
-      if (tasks == 0) {
+      if (tasks == 0 || (j.spec.gang() && tasks < j.pending())) {
         continue;
       }
       Placer.charge(uses, j.spec, tasks);
-      if (j.spec.spread()) {
+      if (j.spec.gang() && j.spec.oneZone()) {
+        demandInOneZone(demands, j, tasks, usable);
+      } else if (j.spec.spread()) {
         // Each zone may take its part only.
         int left = tasks;
         for (String zone : zones(v)) {
@@ -133,6 +136,23 @@
     return new ArrayList<>(demands.values());
   }
 
+  /** What a gang lacks in the zone that lacks least, so that all of its tasks get room there. */
+  private static void demandInOneZone(
+      Map<Like, Renter.Demand> demands, Job job, int tasks, List<Machine> usable) {
+    Map<String, Integer> places = new TreeMap<>();
+    for (Machine m : usable) {
+      if (job.spec.allows(m.type, m.zone, m.spot) && job.onlyIn(m.zone)) {
+        places.merge(m.zone, m.roomAbove(Priority.IDLE).count(job), Integer::sum);
+      }
+    }
+    Optional<Map.Entry<String, Integer>> most =
+        places.entrySet().stream().max(Map.Entry.comparingByValue());
+    int lacking = tasks - most.map(Map.Entry::getValue).orElse(0);
+    if (lacking > 0) {
+      demand(demands, job, lacking, most.map(Map.Entry::getKey).or(job.spec::zone));
+    }
+  }
+
   private record Like(Placer.Shape shape, Optional<String> zone) {}
 
   private static void demand(
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/GangPlacement.java
@@ -0,0 +1,156 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.scheduler.Placer.Choice;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/**
+ * Finds room for several tasks of a gang at once, or for none: what was booked for some of them is
+ * released when one finds no place. Of the zones that have room for all, the one with the fewest
+ * victims is taken, then the one in which the slowest image is there first.
+ */
+final class GangPlacement {
+  private static final Comparator<Plan> BEST =
+      Comparator.comparingInt(Plan::losses).thenComparing(Plan::slowestFetch);
+
+  /** Where the tasks go. */
+  private record Plan(Job job, List<Choice> choices) {
+    int losses() {
+      return choices.stream().mapToInt(choice -> Placer.losses(choice.victims())).sum();
+    }
+
+    /** The gang starts when the last of its tasks has its image. */
+    Duration slowestFetch() {
+      return choices.stream()
+          .map(Choice::machine)
+          .map(
+              machine ->
+                  machine.images.containsKey(job.spec.image())
+                      ? Duration.ZERO
+                      : machine.type.fetchTime(job.spec.imageGb()))
+          .max(Comparator.naturalOrder())
+          .orElse(Duration.ZERO);
+    }
+  }
+
+  private final Placer placer;
+  private final Set<String> zones = new TreeSet<>();
+
+  /** A gang for which room was kept in this pass, since it has waited for long. */
+  private Optional<Job> held = Optional.empty();
+
+  /**
+   * Places gangs in a pass.
+   *
+   * @param machines those that may take tasks now
+   */
+  GangPlacement(Placer placer, Collection<Machine> machines) {
+    this.placer = placer;
+    machines.forEach(machine -> zones.add(machine.zone));
+  }
+
+  /**
+   * Books room for so many tasks.
+   *
+   * @return a choice for each of them; none if one of them finds no place
+   */
+  List<Choice> place(Job job, int tasks, boolean mayStopOthers) {
+    Optional<Plan> best = Optional.empty();
+    for (Predicate<Machine> among : parts(job)) {
+      Optional<Plan> plan = tryPlace(job, tasks, mayStopOthers, among);
+      if (plan.isPresent() && (best.isEmpty() || BEST.compare(plan.get(), best.get()) < 0)) {
+        best = plan;
+      }
+    }
+    best.ifPresent(plan -> plan.choices.forEach(choice -> placer.book(job, choice)));
+    return best.map(Plan::choices).orElse(List.of());
+  }
+
+  /** The parts of the fleet of which one has to take all tasks. */
+  private List<Predicate<Machine>> parts(Job job) {
+    if (!job.spec.oneZone() || job.spec.zone().isPresent()) {
+      return List.of(machine -> true);
+    }
+    List<Predicate<Machine>> parts = new ArrayList<>();
+    for (String zone : zones) {
+      if (job.onlyIn(zone)) {
+        parts.add(machine -> machine.zone.equals(zone));
+      }
+    }
+    return parts;
+  }
+
+  private Optional<Plan> tryPlace(
+      Job job, int tasks, boolean mayStopOthers, Predicate<Machine> among) {
+    List<Choice> choices = choose(job, tasks, mayStopOthers, among);
+    release(job, choices);
+    return choices.size() == tasks ? Optional.of(new Plan(job, choices)) : Optional.empty();
+  }
+
+  private List<Choice> choose(Job job, int tasks, boolean mayStopOthers, Predicate<Machine> among) {
+    List<Choice> choices = new ArrayList<>();
+    SpreadOfPlan spread = new SpreadOfPlan(job);
+    while (choices.size() < tasks) {
+      Optional<Choice> choice =
+          placer.place(job, mayStopOthers, among.and(machine -> spread.allows(machine.zone)));
+      if (choice.isEmpty()) {
+        break;
+      }
+      spread.add(choice.get().machine().zone);
+      choices.add(choice.get());
+    }
+    return choices;
+  }
+
+  private void release(Job job, List<Choice> choices) {
+    for (int i = choices.size() - 1; i >= 0; i--) {
+      placer.release(job, choices.get(i));
+    }
+    placer.forgetVisit(job);
+  }
+
+  /**
+   * Keeps what free room there is for a gang that has waited for long, so that jobs that come after
+   * it in this pass don't take it away. Only one gang at a time: two would each hold half of what
+   * both need.
+   */
+  void hold(Job job, int tasks) {
+    if (held.isPresent()) {
+      return;
+    }
+    held = Optional.of(job);
+    List<Choice> most = List.of();
+    for (Predicate<Machine> among : parts(job)) {
+      List<Choice> choices = choose(job, tasks, /* mayStopOthers= */ false, among);
+      release(job, choices);
+      most = choices.size() > most.size() ? choices : most;
+    }
+    most.forEach(choice -> placer.book(job, choice));
+  }
+
+  /** How the tasks of a plan are spread over zones, beside those that are placed. */
+  private static final class SpreadOfPlan {
+    private final Job job;
+    private final List<String> planned = new ArrayList<>();
+
+    SpreadOfPlan(Job job) {
+      this.job = job;
+    }
+
+    boolean allows(String zone) {
+      long here = planned.stream().filter(zone::equals).count();
+      return !job.spec.spread() || job.inZone(zone) + here < job.spec.perZone();
+    }
+
+    void add(String zone) {
+      planned.add(zone);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/Gangs.java
@@ -0,0 +1,146 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.gang.GangAttempt;
+import io.pearscale.gang.GangAttempt.Action;
+import io.pearscale.gang.GangAttempt.Phase;
+import io.pearscale.gang.Member;
+import io.pearscale.gang.MemberStage;
+import io.pearscale.scheduler.Placement.Stage;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The present attempt of each gang job that has, or had, tasks on machines. */
+final class Gangs {
+  private static final Logger LOG = LoggerFactory.getLogger(Gangs.class);
+
+  private final Leadership leadership;
+  private final InstantSource clock;
+  private final Duration forming;
+  private final Map<Job, GangAttempt> attempts = new HashMap<>();
+
+  /**
+   * Knows of no gangs.
+   *
+   * @param forming how long a task of a gang waits for the others
+   */
+  Gangs(Leadership leadership, InstantSource clock, Duration forming) {
+    this.leadership = leadership;
+    this.clock = clock;
+    this.forming = forming;
+  }
+
+  /** Forgets all gangs. */
+  void clear() {
+    attempts.clear();
+  }
+
+  /** The job is over. */
+  void forget(Job job) {
+    attempts.remove(job);
+  }
+
+  private GangAttempt attemptOf(Job job) {
+    return attempts.computeIfAbsent(job, j -> new GangAttempt(j.spec.tasks(), forming));
+  }
+
+  /** What the job's attempt is at. */
+  Phase phase(Job job) {
+    return attemptOf(job).phase();
+  }
+
+  /** What is to be done for the gang now. */
+  Action next(Job job) {
+    GangAttempt attempt = attemptOf(job);
+    Phase before = attempt.phase();
+    Action action = attempt.next(membersOf(job), clock.instant());
+    if (before != attempt.phase()) {
+      LOG.info(
+          "event=gang term={} job={} phase={} attempt={} tasks={} ended={}",
+          leadership.term(),
+          job.spec.id(),
+          attempt.phase(),
+          attempt.number().orElse(-1L),
+          job.placed.size(),
+          attempt.ended());
+    }
+    return action;
+  }
+
+  private static Collection<Member> membersOf(Job job) {
+    List<Member> members = new ArrayList<>(job.placed.size());
+    for (Placement placement : job.placed.values()) {
+      members.add(new Member(placement.attempt, stageOf(placement.stage), placement.stopping));
+    }
+    return members;
+  }
+
+  private static MemberStage stageOf(Stage stage) {
+    return switch (stage) {
+      case PLANNED -> MemberStage.PLANNED;
+      case SENT -> MemberStage.SENT;
+      case FETCHING -> MemberStage.FETCHING;
+      case WAITING -> MemberStage.WAITING;
+      case RUNNING -> MemberStage.RUNNING;
+      case SAVING -> MemberStage.SAVING;
+    };
+  }
+
+  /** An attempt is started under that number. */
+  void begin(Job job, long number) {
+    attemptOf(job).begin(number, clock.instant());
+  }
+
+  /** The number under which missing tasks of the present attempt are started. */
+  long number(Job job) {
+    return attemptOf(job).number().orElseThrow();
+  }
+
+  /** All tasks of the gang are told to stop. */
+  void noteEnding(Job job) {
+    attemptOf(job).noteEnding();
+  }
+
+  /** A task of that attempt has exited since others are missing or gone. */
+  void noteBroken(Job job, long attempt) {
+    attemptOf(job).noteBroken(attempt);
+  }
+
+  /**
+   * Whether starts of the job may be sent: those of a gang only when all its tasks have a machine
+   * and all marks are durable, so that none is started in vain and a successor knows of each.
+   */
+  static boolean mayStart(Job job) {
+    if (!job.spec.gang()) {
+      return true;
+    }
+    return job.placed.size() == job.spec.tasks()
+        && job.placed.values().stream()
+            .allMatch(p -> p.stage != Stage.PLANNED || (p.marked && p.machine.recorded));
+  }
+
+  /**
+   * How many gangs are in each phase, and how many attempts have ended, as fields of a log line.
+   */
+  String counts() {
+    int[] phases = new int[Phase.values().length];
+    int ended = 0;
+    for (GangAttempt attempt : attempts.values()) {
+      phases[attempt.phase().ordinal()]++;
+      ended += attempt.ended();
+    }
+    return "gangs_forming=%d gangs_running=%d gangs_ending=%d gangs_unknown=%d attempts_ended=%d"
+        .formatted(
+            phases[Phase.FORMING.ordinal()],
+            phases[Phase.RUNNING.ordinal()],
+            phases[Phase.ENDING.ordinal()],
+            phases[Phase.UNKNOWN.ordinal()],
+            ended);
+  }
+}
--- a/src/main/java/io/pearscale/scheduler/JobTable.java
+++ b/src/main/java/io/pearscale/scheduler/JobTable.java
@@ -44,6 +44,7 @@
   private final CancelledJobs cancelled = new CancelledJobs();
   private final Set<String> unreadableKeys = new HashSet<>();
   private final Set<Job> waiting = new LinkedHashSet<>();
+  private final Set<Job> gangs = new LinkedHashSet<>();
   private final Collection<Job> waitingView = Collections.unmodifiableCollection(waiting);
 
   /**
@@ -94,6 +95,11 @@
     return jobs.size();
   }
 
+  /** The gang jobs among them. */
+  Collection<Job> gangs() {
+    return List.copyOf(gangs);
+  }
+
   /** Takes a stored job in; one that can't be read is remembered as such, not as absent. */
   void add(String key, Entry entry) {
     try {
@@ -111,6 +117,9 @@
       Instant since = clock.instant().minus(age.isNegative() ? Duration.ZERO : age);
       Job job = new Job(spec, entry.stamp(), since, limited);
       jobs.put(spec.id(), job);
+      if (spec.gang()) {
+        gangs.add(job);
+      }
       added.accept(job);
       requeue(job);
     } catch (Malformed e) {
@@ -138,6 +147,7 @@
   Optional<Job> remove(String id) {
     Optional<Job> job = Optional.ofNullable(jobs.remove(id));
     job.ifPresent(waiting::remove);
+    job.ifPresent(gangs::remove);
     return job;
   }
 
--- a/src/main/java/io/pearscale/scheduler/LeaderComponents.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderComponents.java
@@ -1,9 +1,11 @@
 package io.pearscale.scheduler;
 
 import io.pearscale.protocol.Settings;
+import io.pearscale.protocol.Settings.GangTimes;
 import io.pearscale.protocol.Settings.Team;
 import io.pearscale.scheduler.SchedulerActor.Environment;
 import io.pearscale.scheduler.SchedulerActor.Listener;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,6 +22,8 @@
   final LeaderRecords records;
   final LeaderStatistics statistics;
   final LevelRaiser raiser;
+  final TaskStops stops;
+  final Gangs gangs;
   final CommandDispatcher dispatcher;
   final ReportHandler reports;
   final MachineHealth health;
@@ -53,13 +57,17 @@
         new JobTable(
             teams, leadership, clock, env.timeOfDay(), env.level(), classes::note, requestPass);
     DecisionLog decisions = new DecisionLog(leadership, clock);
+    Duration forming = settings.workers().gangs().map(GangTimes::forming).orElse(Duration.ZERO);
+    gangs = new Gangs(leadership, clock, forming);
     inventory =
         new MachineInventory(
             catalogue, teams, leadership, jobs, records, clock, requestPass, decisions);
     LeaderState shared =
-        new LeaderState(leadership, jobs, inventory, records, clock, requestPass, decisions);
+        new LeaderState(leadership, jobs, inventory, records, clock, requestPass, decisions, gangs);
     statistics = new LeaderStatistics(shared);
-    ReportProcessor processor = new ReportProcessor(shared, new FailureJudge(shared), statistics);
+    stops = new TaskStops(shared, times);
+    ReportProcessor processor =
+        new ReportProcessor(shared, new FailureJudge(shared), stops, statistics);
     dispatcher =
         new CommandDispatcher(
             shared, settings, times, env.calls(), executor, listener::higherTerm, processor);
@@ -69,7 +77,8 @@
     health = new MachineHealth(shared, times, dispatcher, retirement);
     recovery = new LeaderRecovery(shared, dispatcher, listener::unfit);
     var policy = new PlacementPass.Policy(env.tuning(), env.random(), teams, classes, order);
-    passes = new PlacementPass(shared, times, policy, executor, health, dispatcher, statistics);
+    passes =
+        new PlacementPass(shared, times, policy, executor, health, dispatcher, stops, statistics);
     drains = drains(env, shared, times, retirement);
     Fleet fleet = new Fleet(env.tuning(), teams, classes);
     supply =
--- a/src/main/java/io/pearscale/scheduler/LeaderState.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderState.java
@@ -7,6 +7,7 @@
  * methods.
  *
  * @param requestPass asks for a pass over the jobs that wait
+ * @param gangs the attempts of gang jobs
  * @param decisions is told what starts and proofs rest on
  */
 record LeaderState(
@@ -16,4 +17,5 @@
     LeaderRecords records,
     InstantSource clock,
     Runnable requestPass,
-    DecisionLog decisions) {}
+    DecisionLog decisions,
+    Gangs gangs) {}
--- a/src/main/java/io/pearscale/scheduler/LeaderStatistics.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderStatistics.java
@@ -21,6 +21,7 @@
   private final JobTable jobs;
   private final MachineInventory inventory;
   private final DecisionLog decisions;
+  private final Gangs gangs;
   private final Histogram startMillis = new Histogram(3);
   private final Histogram passMicros = new Histogram(3);
   private Instant next = Instant.MIN;
@@ -30,6 +31,7 @@
     this.jobs = state.jobs();
     this.inventory = state.inventory();
     this.decisions = state.decisions();
+    this.gangs = state.gangs();
   }
 
   /** A task runs, so long after its start was decided. */
@@ -75,7 +77,7 @@
     LOG.info(
         "event=figures term={} jobs={} waiting_tasks={} machines={} usable={} faulty={} avoided={}"
             + " free_cpus={} stages={} stopping={} start_ms_p50={} start_ms_p99={} pass_us_p50={}"
-            + " pass_us_p99={} {}",
+            + " pass_us_p99={} {} {}",
         leadership.term(),
         jobs.size(),
         jobs.all().stream().mapToInt(Job::pending).sum(),
@@ -90,6 +92,7 @@
         startMillis.getValueAtPercentile(99),
         passMicros.getValueAtPercentile(50),
         passMicros.getValueAtPercentile(99),
-        decisions.takeCounts());
+        decisions.takeCounts(),
+        gangs.counts());
   }
 }
--- a/src/main/java/io/pearscale/scheduler/Placement.java
+++ b/src/main/java/io/pearscale/scheduler/Placement.java
@@ -12,6 +12,8 @@
     /** A command was sent; whether it arrived is open. */
     SENT,
     FETCHING,
+    /** Of a gang: it has its image, and waits for the others. */
+    WAITING,
     RUNNING,
     SAVING
   }
--- a/src/main/java/io/pearscale/scheduler/PlacementPass.java
+++ b/src/main/java/io/pearscale/scheduler/PlacementPass.java
@@ -1,5 +1,6 @@
 package io.pearscale.scheduler;
 
+import io.pearscale.gang.GangAttempt.Action;
 import io.pearscale.protocol.Settings.Team;
 import io.pearscale.protocol.TaskId;
 import io.pearscale.scheduler.Placement.Stage;
@@ -45,6 +46,8 @@
   private final TermExecutor executor;
   private final MachineHealth health;
   private final CommandDispatcher dispatcher;
+  private final Gangs gangs;
+  private final TaskStops stops;
   private final LeaderStatistics statistics;
   private final AttemptNumbers attempts = new AttemptNumbers();
   private boolean requested;
@@ -57,6 +60,7 @@
       TermExecutor executor,
       MachineHealth health,
       CommandDispatcher dispatcher,
+      TaskStops stops,
       LeaderStatistics statistics) {
     this.leadership = state.leadership();
     this.jobs = state.jobs();
@@ -68,6 +72,8 @@
     this.executor = executor;
     this.health = health;
     this.dispatcher = dispatcher;
+    this.gangs = state.gangs();
+    this.stops = stops;
     this.statistics = statistics;
   }
 
@@ -94,13 +100,20 @@
 
   private void pass() {
     Instant now = clock.instant();
+    stops.endBrokenGangs();
     Function<Job, JobOrder.Turn> turns = policy.order.turns(now);
     List<Job> waiting = policy.order.waiting(jobs.waiting(), turns, now);
     if (!waiting.isEmpty()) {
-      Placer placer = placer(waiting, turns, now);
+      List<Machine> usable = usable(now);
+      Placer placer = placer(waiting, usable, turns, now);
+      GangPlacement ofGangs = new GangPlacement(placer, usable);
       Set<Machine> touched = new LinkedHashSet<>();
       for (Job job : waiting) {
-        place(placer, job, touched, now);
+        if (job.spec.gang()) {
+          placeGang(ofGangs, job, touched, now);
+        } else {
+          place(placer, job, touched, now);
+        }
       }
       touched.forEach(dispatcher::sendDue);
     }
@@ -109,13 +122,8 @@
     statistics.passTook(lastPass);
   }
 
-  private Placer placer(List<Job> waiting, Function<Job, JobOrder.Turn> turns, Instant now) {
-    List<Machine> usable = new ArrayList<>();
-    for (Machine machine : inventory.all()) {
-      if (health.usable(machine, now)) {
-        usable.add(machine);
-      }
-    }
+  private Placer placer(
+      List<Job> waiting, List<Machine> usable, Function<Job, JobOrder.Turn> turns, Instant now) {
     return new Placer(
         policy.tuning,
         policy.random,
@@ -129,6 +137,16 @@
         now);
   }
 
+  private List<Machine> usable(Instant now) {
+    List<Machine> usable = new ArrayList<>();
+    for (Machine machine : inventory.all()) {
+      if (health.usable(machine, now)) {
+        usable.add(machine);
+      }
+    }
+    return usable;
+  }
+
   private void place(Placer placer, Job j, Set<Machine> touched, Instant now) {
     boolean pressing = JobOrder.pressing(j, now);
     // Of a job that fails everywhere one task is tried at a time: it takes no room and no writes.
@@ -139,30 +157,61 @@
       if (choice.isEmpty()) {
         return;
       }
-      Machine m = choice.get().machine();
-      for (Placement victim : choice.get().victims()) {
-        evict(victim, j, i);
-        touched.add(m);
-      }
-      Placement p =
-          new Placement(j, new TaskId(j.spec.id(), i), attempts.next(), m, Stage.PLANNED, now);
-      inventory.add(p);
-      LOG.debug(
-          "event=placed term={} machine={} task={} attempt={} class={} image={} cached={}",
-          leadership.term(),
-          m.name,
-          p.task,
-          p.attempt,
-          j.spec.jobClass(),
-          j.spec.image(),
-          m.images.containsKey(j.spec.image()));
-      records.recordTask(p);
+      start(j, i, choice.get(), attempts.next(), touched, now);
       if (one) {
         return;
       }
     }
   }
 
+  /** All tasks of a gang that are to be started find a place, or none is started. */
+  private void placeGang(GangPlacement placement, Job job, Set<Machine> touched, Instant now) {
+    Action action = gangs.next(job);
+    if (action != Action.START && action != Action.COMPLETE) {
+      return;
+    }
+    int tasks = job.pending();
+    List<Placer.Choice> choices = placement.place(job, tasks, JobOrder.pressing(job, now));
+    job.noRoom = choices.isEmpty();
+    if (choices.isEmpty()) {
+      if (JobOrder.begins(job, now)) {
+        placement.hold(job, tasks);
+      }
+      return;
+    }
+    if (action == Action.START) {
+      gangs.begin(job, attempts.next());
+    }
+    long attempt = gangs.number(job);
+    int task = job.nextPending(0);
+    for (Placer.Choice choice : choices) {
+      start(job, task, choice, attempt, touched, now);
+      task = job.nextPending(task + 1);
+    }
+  }
+
+  private void start(
+      Job job, int task, Placer.Choice choice, long attempt, Set<Machine> touched, Instant now) {
+    Machine machine = choice.machine();
+    for (Placement victim : choice.victims()) {
+      evict(victim, job, task);
+      touched.add(machine);
+    }
+    Placement placement =
+        new Placement(job, new TaskId(job.spec.id(), task), attempt, machine, Stage.PLANNED, now);
+    inventory.add(placement);
+    LOG.debug(
+        "event=placed term={} machine={} task={} attempt={} class={} image={} cached={}",
+        leadership.term(),
+        machine.name,
+        placement.task,
+        placement.attempt,
+        job.spec.jobClass(),
+        job.spec.image(),
+        machine.images.containsKey(job.spec.image()));
+    records.recordTask(placement);
+  }
+
   private void evict(Placement victim, Job job, int index) {
     LOG.info(
         "event=evict term={} machine={} task={} attempt={} for={}/{}",
@@ -172,8 +221,7 @@
         victim.attempt,
         job.spec.id(),
         index);
-    victim.stopsAtOnce =
-        policy.classes.tooLateIfSaved(job.spec, victim.job.spec, victim.machine.type);
-    inventory.stop(victim);
+    stops.stop(
+        victim, policy.classes.tooLateIfSaved(job.spec, victim.job.spec, victim.machine.type));
   }
 }
--- a/src/main/java/io/pearscale/scheduler/Placer.java
+++ b/src/main/java/io/pearscale/scheduler/Placer.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -120,6 +121,10 @@
   private final Map<TaskClass, Visit> visits = new HashMap<>();
   private final Map<Shape, Map<String, Integer>> zoneRoom = new HashMap<>();
   private final Set<Hunt> barren = new HashSet<>();
+
+  /** Victims of this pass. */
+  private final Set<Placement> chosen = new HashSet<>();
+
   private final Map<String, Use> uses;
   private final Function<JobSpec, Optional<Duration>> startWithin;
   private final Comparator<Job> turns;
@@ -223,16 +228,22 @@
 
   /** Finds a machine for one more task of the job and books the room. */
   Optional<Choice> place(Job job, boolean mayStopOthers) {
+    return place(job, mayStopOthers, machine -> true);
+  }
+
+  /** The same, on machines of which {@code among} holds. */
+  Optional<Choice> place(Job job, boolean mayStopOthers, Predicate<Machine> among) {
     if (leftWithinLimit(teams, uses, job.spec) < 1) {
       return Optional.empty();
     }
+    Predicate<Machine> allowed = machine -> among.test(machine) && allowedNow(job, machine);
     Visit v = visits.computeIfAbsent(TaskClass.of(job.spec), k -> new Visit(job));
     Machine best = null;
     double bestScore = Double.MAX_VALUE;
     v.found.removeIf(m -> !room(m).fits(job));
     int usable = 0;
     for (Machine m : v.found) {
-      if (allowedNow(job, m)) {
+      if (allowed.test(m)) {
         usable++;
         double s = score(job, m, v);
         if (s < bestScore) {
@@ -247,7 +258,7 @@
         continue;
       }
       v.found.add(m);
-      if (allowedNow(job, m)) {
+      if (allowed.test(m)) {
         usable++;
         double s = score(job, m, v);
         if (s < bestScore) {
@@ -257,12 +268,14 @@
       }
     }
     if (best != null) {
-      Optional<Choice> cached = mayStopOthers ? evictForImage(job, best) : Optional.empty();
+      Optional<Choice> cached =
+          mayStopOthers ? evictForImage(job, best, allowed) : Optional.empty();
       if (cached.isPresent()) {
         return cached;
       }
-      book(job, best);
-      return Optional.of(new Choice(best, List.of()));
+      Choice choice = new Choice(best, List.of());
+      book(job, choice);
+      return Optional.of(choice);
     }
     if (v.noVictims || !mayStopOthers) {
       return Optional.empty();
@@ -271,7 +284,7 @@
     if (barren.contains(hunt)) {
       return Optional.empty();
     }
-    Optional<Choice> byEviction = evict(job, Optional.empty());
+    Optional<Choice> byEviction = evict(job, Optional.empty(), allowed);
     if (byEviction.isEmpty()) {
       byEviction = makeWay(job);
     }
@@ -293,7 +306,7 @@
     return !p.job.spec.service()
         && !p.job.begun
         && p.job.done.isEmpty()
-        && p.job.placed.size() == 1
+        && (p.job.spec.gang() || p.job.placed.size() == 1)
         && p.job.submitted.isBefore(now.minus(Job.LONG_WAIT))
         && p.ranFor(now).compareTo(Job.A_START) < 0;
   }
@@ -313,7 +326,7 @@
    * than the class is expected to start in, and another machine has it: a few low tasks are done
    * again, where else the start would be late for certain.
    */
-  private Optional<Choice> evictForImage(Job job, Machine free) {
+  private Optional<Choice> evictForImage(Job job, Machine free, Predicate<Machine> allowed) {
     JobSpec s = job.spec;
     Optional<Duration> within = startWithin.apply(s);
     if (within.isEmpty()
@@ -325,20 +338,40 @@
     if (barren.contains(hunt)) {
       return Optional.empty();
     }
-    Optional<Choice> choice = evict(job, Optional.of(s.image()));
+    Optional<Choice> choice = evict(job, Optional.of(s.image()), allowed);
     if (choice.isEmpty()) {
       barren.add(hunt);
     }
     return choice;
   }
 
-  private void book(Job job, Machine m) {
-    room(m).take(job);
+  /** Books a task's room, after that of its victims has become free. */
+  void book(Job job, Choice choice) {
+    Room r = room(choice.machine);
+    choice.victims.forEach(victim -> r.give(victim.job));
+    chosen.addAll(choice.victims);
+    r.take(job);
     Use u = use(job.spec.team());
     u.cpus += job.spec.cpus();
     u.gpus += job.spec.gpus();
   }
 
+  /** Takes back what was booked for a task. */
+  void release(Job job, Choice choice) {
+    Room r = room(choice.machine);
+    choice.victims.forEach(victim -> r.take(victim.job));
+    chosen.removeAll(choice.victims);
+    r.give(job);
+    Use u = use(job.spec.team());
+    u.cpus -= job.spec.cpus();
+    u.gpus -= job.spec.gpus();
+  }
+
+  /** The machines met for the job's class are met anew: some were dropped for what was released. */
+  void forgetVisit(Job job) {
+    visits.remove(TaskClass.of(job.spec));
+  }
+
   /** The order for those who look for victims, on machines with room or without. */
   private Order all() {
     if (all.isEmpty()) {
@@ -451,7 +484,7 @@
   }
 
   /** Looks for victims, on machines that have the image if one is given. */
-  private Optional<Choice> evict(Job job, Optional<String> image) {
+  private Optional<Choice> evict(Job job, Optional<String> image, Predicate<Machine> allowed) {
     boolean guaranteed = !beyondGuarantee(job.spec.team(), job.spec.cpus(), job.spec.gpus());
     Choice best = null;
     Order order = all();
@@ -462,14 +495,14 @@
     for (int i = 0; i < order.size() && met < tuning.sample(); i++) {
       Machine m = order.get(start, i);
       if (!job.spec.allows(m.type, m.zone, m.spot)
-          || !allowedNow(job, m)
+          || !allowed.test(m)
           || (image.isPresent() && !(m.images.containsKey(image.get()) && prompt(m)))
           || (!guaranteed && !m.roomAbove(job.spec.priority()).fits(job))) {
         continue;
       }
       List<Placement> candidates = new ArrayList<>();
       for (Placement p : m.placements.values()) {
-        if (!p.stopping && !sheltered(p) && mayEvict(job, p, guaranteed)) {
+        if (!p.stopping && !chosen.contains(p) && !sheltered(p) && mayEvict(job, p, guaranteed)) {
           candidates.add(p);
         }
       }
@@ -498,10 +531,7 @@
     if (best == null) {
       return Optional.empty();
     }
-    for (Placement p : best.victims()) {
-      room(best.machine()).give(p.job);
-    }
-    book(job, best.machine());
+    book(job, best);
     return Optional.of(best);
   }
 
@@ -528,9 +558,9 @@
         }
         asked++;
         if (hasOtherPlace(p)) {
-          room(m).give(p.job);
-          book(job, m);
-          return Optional.of(new Choice(m, List.of(p)));
+          Choice choice = new Choice(m, List.of(p));
+          book(job, choice);
+          return Optional.of(choice);
         }
       }
     }
@@ -582,8 +612,10 @@
   private boolean better(List<Placement> victims, Machine m, Choice best, Job job) {
     Priority a = highest(victims);
     Priority b = highest(best.victims());
-    if (victims.size() != best.victims().size()) {
-      return victims.size() < best.victims().size();
+    int losses = losses(victims);
+    int bestLosses = losses(best.victims());
+    if (losses != bestLosses) {
+      return losses < bestLosses;
     }
     if (a != b) {
       return a.compareTo(b) < 0;
@@ -595,6 +627,17 @@
     return turns.compare(first(victims), first(best.victims())) > 0;
   }
 
+  /** How many tasks end with the victims: a gang that runs loses all of its tasks with one. */
+  static int losses(List<Placement> victims) {
+    int losses = 0;
+    for (Placement victim : victims) {
+      boolean ofRunningGang =
+          victim.job.spec.gang() && victim.stage.compareTo(Placement.Stage.RUNNING) >= 0;
+      losses += ofRunningGang ? victim.job.placed.size() : 1;
+    }
+    return losses;
+  }
+
   /** Of the jobs that would lose a task the one whose turn comes first. */
   private Job first(List<Placement> victims) {
     return victims.stream().map(p -> p.job).min(turns).orElseThrow();
--- a/src/main/java/io/pearscale/scheduler/RecordWriter.java
+++ b/src/main/java/io/pearscale/scheduler/RecordWriter.java
@@ -47,6 +47,7 @@
   private final JobTable jobs;
   private final MachineInventory inventory;
   private final LeaderRecords records;
+  private final Gangs gangs;
   private final InstantSource clock;
   private final Settings.State limits;
   private final StateClient state;
@@ -81,6 +82,7 @@
     this.inventory = shared.inventory();
     this.records = shared.records();
     this.clock = shared.clock();
+    this.gangs = shared.gangs();
     this.limits = env.settings().stateLimits();
     this.state = env.state();
     this.random = env.random();
@@ -257,6 +259,7 @@
 
   private void ended(Job job) {
     jobs.remove(job.spec.id());
+    gangs.forget(job);
     records.close(job);
     job.durableDone.or(job.done);
     LOG.info(
--- a/src/main/java/io/pearscale/scheduler/ReportProcessor.java
+++ b/src/main/java/io/pearscale/scheduler/ReportProcessor.java
@@ -35,10 +35,13 @@
   private final InstantSource clock;
   private final Runnable requestPass;
   private final FailureJudge failures;
+  private final TaskStops stops;
+  private final Gangs gangs;
   private final LeaderStatistics statistics;
   private final DecisionLog decisions;
 
-  ReportProcessor(LeaderState state, FailureJudge failures, LeaderStatistics statistics) {
+  ReportProcessor(
+      LeaderState state, FailureJudge failures, TaskStops stops, LeaderStatistics statistics) {
     this.leadership = state.leadership();
     this.jobs = state.jobs();
     this.inventory = state.inventory();
@@ -46,6 +49,8 @@
     this.clock = state.clock();
     this.requestPass = state.requestPass();
     this.failures = failures;
+    this.stops = stops;
+    this.gangs = state.gangs();
     this.statistics = statistics;
     this.decisions = state.decisions();
   }
@@ -227,6 +232,7 @@
     p.stage =
         switch (stage) {
           case FETCHING -> Stage.FETCHING;
+          case WAITING -> Stage.WAITING;
           case FLUSHING -> Stage.SAVING;
           default -> Stage.RUNNING;
         };
@@ -241,7 +247,7 @@
           Duration.between(p.since, clock.instant()).toMillis());
       p.machine.noteImage(p.job.spec.image(), p.job.spec.imageGb());
       Instant now = clock.instant();
-      if (before == Stage.SENT || before == Stage.FETCHING) {
+      if (before.compareTo(Stage.RUNNING) < 0) {
         statistics.started(Duration.between(p.since, now));
       }
       p.since = now;
@@ -264,8 +270,12 @@
           failures.failed(m, job);
         }
       }
+      case "stopped" -> {
+        // As it was told.
+      }
+      case "alone", "mates_gone" -> gangs.noteBroken(job, t.attempt());
       default -> {
-        if (p != null && !t.cause().equals("stopped")) {
+        if (p != null) {
           refused(m, job, t);
         }
       }
@@ -274,6 +284,13 @@
 
   /** A task is done, for the first time as far as known here. */
   private void completed(Job job, int index) {
+    if (job.spec.gang()) {
+      // Its tasks complete together: whoever shows it first decides for all.
+      job.done.set(0, job.spec.tasks());
+      jobs.requeue(job);
+      records.recordEnd(job);
+      return;
+    }
     Placement other = job.placed.get(index);
     if (other != null) {
       inventory.stop(other);
@@ -318,9 +335,9 @@
       boolean running = p.stage == Stage.RUNNING;
       Duration remaining = running ? s.estimate().minus(ran) : s.estimate();
       if (saves ? left.compareTo(s.save().plusSeconds(4)) < 0 || !running : false) {
-        inventory.stop(p);
+        stops.stop(p);
       } else if (s.service() || (!saves && remaining.compareTo(left.multipliedBy(2)) > 0)) {
-        inventory.stop(p);
+        stops.stop(p);
       }
     }
   }
--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -239,6 +239,7 @@
       return;
     }
     records.close(job.get());
+    parts.gangs.forget(job.get());
     for (Placement p : List.copyOf(job.get().placed.values())) {
       // What a cancelled task has done is of no use to anybody: it does not save, and one that
       // saves already, for whatever reason it was stopped, is told to end.
@@ -270,6 +271,7 @@
     parts.dispatcher.end();
     records.clear();
     parts.counts.clear();
+    parts.gangs.clear();
     parts.drains.ifPresent(DrainCoordinator::end);
     parts.supply.end();
     jobs.forgetPlacements();
@@ -301,6 +303,7 @@
     }
     Instant now = loop.clock().instant();
     checkMachines(now);
+    parts.stops.endBrokenGangs();
     parts.recovery.noteProgress();
     parts.drains.ifPresent(drains -> drains.roundIfDue(now));
     parts.passes.request();
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/TaskStops.java
@@ -0,0 +1,96 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.gang.GangAttempt.Action;
+import io.pearscale.gang.GangAttempt.Phase;
+import io.pearscale.gang.OrderlyStop;
+import io.pearscale.gang.OrderlyStop.Reach;
+import io.pearscale.scheduler.Machine.Life;
+import io.pearscale.scheduler.Placement.Stage;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Stops tasks by choice, and with a task of a gang that runs all others: their work could not go
+ * on. Whether they save is decided for all of them before the first one is told. A task of a gang
+ * that has not begun is stopped alone, since another one can take its place.
+ */
+final class TaskStops {
+  private static final Duration NO_NOTICE = Duration.ofDays(365);
+
+  private final JobTable jobs;
+  private final MachineInventory inventory;
+  private final Gangs gangs;
+  private final InstantSource clock;
+  private final WorkerTimes times;
+
+  TaskStops(LeaderState state, WorkerTimes times) {
+    this.jobs = state.jobs();
+    this.inventory = state.inventory();
+    this.gangs = state.gangs();
+    this.clock = state.clock();
+    this.times = times;
+  }
+
+  /** Stops a task; what it has done is saved if that is possible. */
+  void stop(Placement placement) {
+    stop(placement, /* atOnce= */ false);
+  }
+
+  /**
+   * Stops a task.
+   *
+   * @param atOnce whether what is to start instead can't wait until it has saved
+   */
+  void stop(Placement placement, boolean atOnce) {
+    if (placement.job.spec.gang() && gangs.phase(placement.job) == Phase.RUNNING) {
+      stopGang(placement.job, atOnce);
+    } else {
+      placement.stopsAtOnce |= atOnce;
+      inventory.stop(placement);
+    }
+  }
+
+  /** Ends attempts that lost a task after they had begun, or that can't be completed in time. */
+  void endBrokenGangs() {
+    for (Job job : jobs.gangs()) {
+      if (gangs.next(job) == Action.END) {
+        stopGang(job, /* atOnce= */ true);
+      }
+    }
+  }
+
+  private void stopGang(Job job, boolean atOnce) {
+    Instant now = clock.instant();
+    List<Reach> members = new ArrayList<>();
+    Duration left = NO_NOTICE;
+    for (Placement placement : job.placed.values()) {
+      members.add(new Reach(placement.stage == Stage.RUNNING, isReachable(placement.machine, now)));
+      Duration untilTaken =
+          placement.machine.takenAt.map(taken -> Duration.between(now, taken)).orElse(NO_NOTICE);
+      left = untilTaken.compareTo(left) < 0 ? untilTaken : left;
+    }
+    boolean saves =
+        !atOnce
+            && !job.spec.checkpoint().isZero()
+            && OrderlyStop.saves(members, job.spec.tasks(), left, job.spec.save());
+    gangs.noteEnding(job);
+    for (Placement placement : List.copyOf(job.placed.values())) {
+      placement.stopsAtOnce |= !saves;
+      inventory.stop(placement);
+    }
+  }
+
+  /** Whether a command reaches the machine within a moment, as far as can be known. */
+  private boolean isReachable(Machine machine, Instant now) {
+    return machine.life == Life.UP
+        && machine.settled
+        && !machine.lost
+        && !machine.inDoubt()
+        && !machine.address.isEmpty()
+        && !now.isBefore(machine.directAfter)
+        && now.isBefore(machine.heard.plus(times.recent()));
+  }
+}
--- a/src/test/java/io/pearscale/LayersTest.java
+++ b/src/test/java/io/pearscale/LayersTest.java
@@ -25,6 +25,7 @@
           "upgrade",
           "storage",
           "drain",
+          "gang",
           "coordination",
           "scheduler",
           "cli");
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -476,6 +476,15 @@
       good = world.state.holds("c/drain-status/" + w.get(1), "\"state\":\"" + w.get(2) + "\"");
     } else if (w.get(0).equals("voluntary-stops")) {
       good = world.disruptions.stops() >= Integer.parseInt(w.get(2));
+    } else if (w.get(0).equals("gangs")) {
+      int count =
+          switch (w.get(1)) {
+            case "begun" -> world.gangs.begun;
+            case "broken" -> world.gangs.broken;
+            default -> world.gangs.neverComplete;
+          };
+      int bound = Integer.parseInt(w.get(3));
+      good = w.get(2).equals("<=") ? count <= bound : count >= bound;
     } else if (w.get(0).equals("announced")) {
       good = world.state.under("c/member/").size() == Integer.parseInt(w.get(2));
     } else if (w.get(0).equals("leader")) {
--- a/src/test/java/io/pearscale/sim/SimWorker.java
+++ b/src/test/java/io/pearscale/sim/SimWorker.java
@@ -25,6 +25,7 @@
   private static final class Task {
     String stage = "fetching";
     String cause = "";
+    boolean saved;
     boolean started;
     Instant runsSince = Instant.MAX;
   }
@@ -123,6 +124,61 @@
 
   void hang() {
     hung = true;
+    tasks.forEach(
+        (key, task) -> {
+          if (task.stage.equals("running") && isGang(key)) {
+            world.gangs.hung(key.task, key.attempt, new GangMember(key, task));
+          }
+        });
+  }
+
+  private boolean isGang(Key key) {
+    return world.submitted.get(key.task.job()).gang();
+  }
+
+  /** A task of a gang, as the others see it. Two of them are the same if their task is. */
+  private final class GangMember implements SimGangs.Member {
+    private final Key key;
+    private final Task task;
+
+    GangMember(Key key, Task task) {
+      this.key = key;
+      this.task = task;
+    }
+
+    @Override
+    public void runs() {
+      task.stage = "running";
+      task.runsSince = world.now;
+      reportSoon();
+    }
+
+    @Override
+    public void exits(String cause, boolean saved) {
+      alive(
+          () -> {
+            if (tasks.get(key) == task && !task.stage.equals("ended")) {
+              task.saved = saved;
+              end(key, task, cause);
+              cancelIfAllDone(key);
+            }
+          });
+    }
+
+    @Override
+    public boolean hangs() {
+      return hung;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof GangMember member && member.task == task;
+    }
+
+    @Override
+    public int hashCode() {
+      return System.identityHashCode(task);
+    }
   }
 
   /** Hangs, but goes on when its lease is over, if it did not before. */
@@ -165,6 +221,7 @@
         (k, t) -> {
           if (t.started && !t.stage.equals("ended")) {
             world.taskGone(this, k.task, k.attempt);
+            world.gangs.leave(k.task, k.attempt);
           }
         });
     tasks.clear();
@@ -209,7 +266,7 @@
                   .put("try", k.attempt)
                   .put("stage", t.stage);
           if (t.stage.equals("ended")) {
-            p.put("cause", t.cause);
+            p.put("cause", t.cause).put("stored", t.saved);
           }
         });
     return n;
@@ -349,6 +406,10 @@
       world.disruptions.stopped(key.task);
     }
     boolean hasTime = leeway > 0 && leeway >= spec.save().toMillis() / 1000.0;
+    if (spec.gang() && t.stage.equals("running") && !spec.checkpoint().isZero() && hasTime) {
+      world.gangs.told(key.task, key.attempt);
+      return;
+    }
     if (t.stage.equals("running") && !spec.checkpoint().isZero() && hasTime) {
       t.stage = "flushing";
       Duration ran = Duration.between(t.runsSince, world.now);
@@ -400,8 +461,19 @@
                     end(key, t, "done");
                     return;
                   }
-                  t.stage = "running";
                   t.started = true;
+                  if (spec.gang()) {
+                    t.stage = "waiting";
+                    world.taskStarts(this, key.task, key.attempt);
+                    reportSoon();
+                    if (faulty) {
+                      world.after(
+                          Duration.ofMillis(300), () -> alive(() -> endIfThere(key, t, "error")));
+                    }
+                    world.gangs.join(key.task, key.attempt, new GangMember(key, t));
+                    return;
+                  }
+                  t.stage = "running";
                   t.runsSince = world.now;
                   world.taskStarts(this, key.task, key.attempt);
                   reportSoon();
@@ -422,17 +494,28 @@
         completed(world).add(key.task);
       }
       end(key, t, cause);
-      String job = key.task.job();
-      if (world.cancelledAtEnd.contains(job) && allDone(world, world.submitted.get(job))) {
-        world.cancelledAtEnd.remove(job);
-        world.users.get(job).cancel();
-      }
+      cancelIfAllDone(key);
+    }
+  }
+
+  private void endIfThere(Key key, Task t, String cause) {
+    if (tasks.get(key) == t && !t.stage.equals("ended")) {
+      end(key, t, cause);
+    }
+  }
+
+  private void cancelIfAllDone(Key key) {
+    String job = key.task.job();
+    if (world.cancelledAtEnd.contains(job) && allDone(world, world.submitted.get(job))) {
+      world.cancelledAtEnd.remove(job);
+      world.users.get(job).cancel();
     }
   }
 
   private void end(Key key, Task t, String cause) {
     if (t.started) {
       world.taskGone(this, key.task, key.attempt);
+      world.gangs.leave(key.task, key.attempt);
     }
     t.stage = "ended";
     t.cause = cause;
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -70,6 +70,7 @@
 
   final SimState state = new SimState(this);
   final SimCloud cloud = new SimCloud(this);
+  final SimGangs gangs = new SimGangs(this);
   final Map<String, SimNode> nodes = new LinkedHashMap<>();
   final Map<String, SimWorker> workers = new TreeMap<>();
   final Map<String, SimUser> users = new LinkedHashMap<>();
@@ -398,7 +399,9 @@
       breaks("started_cancelled", task + " on " + w.name);
     }
     starts.merge(task.job(), 1, Integer::sum);
-    begun.putIfAbsent(task.job(), now);
+    if (!spec.gang()) {
+      begun.putIfAbsent(task.job(), now);
+    }
     present.add(new Presence(w, task, attempt));
     disruptions.started(task);
   }
