Write the machines that marks name no later than the marks

Before level 2 each machine with a task was recorded already.

Change: a value of marks goes into a transaction only with, or after, the records of all machines that it names. The stand-in for the state service checks after each transaction that marks name no number that was never recorded.

Ruled out: copying the roster before all marks (a start in between writes marks of other tasks in the same value).

--- a/src/main/java/io/pearscale/scheduler/JobPart.java
+++ b/src/main/java/io/pearscale/scheduler/JobPart.java
@@ -40,6 +40,18 @@
     return Marks.size(job.spec.id(), tasks, layout) + job.claim().map(Marks.Claim::size).orElse(0);
   }
 
+  /** Where its tasks are, or may be. */
+  List<Placement> placements() {
+    List<Placement> placements = new ArrayList<>();
+    for (Placement placement : job.placed.values()) {
+      int index = placement.task.index() - first;
+      if (index >= 0 && index < tasks) {
+        placements.add(placement);
+      }
+    }
+    return placements;
+  }
+
   /** Its tasks that are done, numbered from its first. */
   BitSet done() {
     return job.done.get(first, first + tasks);
--- a/src/main/java/io/pearscale/scheduler/LeaderRecords.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderRecords.java
@@ -418,13 +418,33 @@
 
   private void writeMarks(Collection<Integer> values, LeaderTransaction transaction) {
     for (int value : values) {
-      if (transaction.hasRoom() && refused.mayWrite(layout.marksKey(value))) {
+      if (refused.mayWrite(layout.marksKey(value)) && writeMachinesOf(value, transaction)) {
         transaction.addMarks(layout, value, marks, this::numberOf);
         garbage.remove(layout.marksKey(value));
       }
     }
   }
 
+  /**
+   * Writes the machines that a value of marks names, as far as a successor would not find them yet:
+   * it would take their tasks to be nowhere.
+   *
+   * @return whether the marks can go along
+   */
+  private boolean writeMachinesOf(int value, LeaderTransaction transaction) {
+    Set<Integer> missing = new LinkedHashSet<>();
+    for (JobPart part : marks.items(value).values()) {
+      for (Placement placement : part.placements()) {
+        if (!placement.machine.recorded) {
+          roster.home(placement.machine).ifPresent(home -> missing.add(home.shard()));
+        }
+      }
+    }
+    missing.removeAll(transaction.rosters());
+    writeRosters(missing, transaction);
+    return transaction.hasRoom() && transaction.rosters().containsAll(missing);
+  }
+
   /** The number by which marks name a machine; 0 while it has none. */
   private int numberOf(Machine machine) {
     Optional<Shards.Home> home = roster.home(machine);
--- a/src/main/java/io/pearscale/scheduler/LeaderTransaction.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderTransaction.java
@@ -146,11 +146,10 @@
   private Marks.Part marksOf(JobPart part, ToIntFunction<Machine> numberOf) {
     Job job = part.job();
     int[] hosts = new int[part.tasks()];
-    for (Placement placement : job.placed.values()) {
-      int index = placement.task.index() - part.first();
+    for (Placement placement : part.placements()) {
       int number = numberOf.applyAsInt(placement.machine);
-      if (index >= 0 && index < hosts.length && number > 0) {
-        hosts[index] = number;
+      if (number > 0) {
+        hosts[placement.task.index() - part.first()] = number;
         if (!placement.marked) {
           marked.add(placement);
         }
--- a/src/test/java/io/pearscale/sim/SimState.java
+++ b/src/test/java/io/pearscale/sim/SimState.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pearscale.protocol.Malformed;
+import io.pearscale.storage.Marks;
 import io.pearscale.storage.RecordLayout;
 import io.pearscale.storage.Roster;
 import io.pearscale.transport.Calls.Reply;
@@ -65,6 +66,9 @@
   private double writeTokens;
   private Instant tokensAt = World.START;
 
+  /** The numbers under which machines were ever recorded. */
+  private final Set<Integer> numbers = new HashSet<>();
+
   private int troubleIn;
   private String trouble = "";
 
@@ -245,6 +249,7 @@
       }
     }
     checkForms();
+    checkNumbers(body);
     notifyWatches();
     answer.accept(ok(World.map().put("epoch", epoch)));
   }
@@ -272,6 +277,34 @@
     return false;
   }
 
+  /**
+   * Marks name a machine by its number only once a successor finds the machine of that number: else
+   * it would take the task to be nowhere.
+   */
+  private void checkNumbers(JsonNode body) {
+    try {
+      for (JsonNode change : body.path("then")) {
+        if (change.path("write").asText().startsWith(RecordLayout.BY_NUMBER.rosterPrefix())) {
+          Roster.decode(change.path("value")).forEach(entry -> numbers.add(entry.number()));
+        }
+      }
+      for (JsonNode change : body.path("then")) {
+        String key = change.path("write").asText();
+        if (key.startsWith(RecordLayout.BY_NUMBER.marksPrefix())) {
+          for (Marks.Part part : Marks.decode(change.path("value"))) {
+            for (int host : part.hosts()) {
+              if (host > 0 && !numbers.contains(host)) {
+                world.breaks("mark_without_machine", key + " names " + host + " for " + part.job());
+              }
+            }
+          }
+        }
+      }
+    } catch (Malformed e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /** No record has a later form than the level in force, nor another one once all are migrated. */
   private void checkForms() {
     ClusterLevel level = level();
--- a/src/test/java/io/pearscale/sim/UpgradeStepsTest.java
+++ b/src/test/java/io/pearscale/sim/UpgradeStepsTest.java
@@ -44,6 +44,43 @@
       expect wk-4 stage done
       """;
 
+  /**
+   * All is copied to the layout of level 2, while tasks start and end, and back to that of level 1.
+   */
+  private static final String COPIES =
+      """
+      nodes 3
+      value-bytes 1024
+      zones a b
+      type small cpus=8 mem=64 boot=5
+      machines small a ordinary 40
+      machines small b ordinary 40
+      team t
+      team u cpus_max=60
+      at 2 submit wk-1 service tasks=60 cpus=2 spread
+      at 3 submit wk-2 batch tasks=120 cpus=1 run=40
+      at 4 submit wk-3 service tasks=30 cpus=1 team=u
+      at 5 submit wk-4 batch tasks=40 cpus=2 run=70
+      at 20 level 2
+      %s
+      at 20.5 submit wk-5 batch tasks=30 cpus=1 run=20
+      at 22 cancel wk-3
+      at 65 check level 2
+      at 70 level-back
+      %s
+      at 70.5 submit wk-6 batch tasks=30 cpus=1 run=20
+      at 115 check level 1
+      until 170
+      expect level 1
+      expect wk-1 present 60
+      expect starts wk-1 <= 60
+      expect wk-2 stage done
+      expect wk-3 present 0
+      expect wk-4 stage done
+      expect wk-5 stage done
+      expect wk-6 stage done
+      """;
+
   /** A step writes each value of the roster once, and the leader's own key with each batch. */
   @Test
   void aMigrationCostsOneWriteAValue() {
@@ -78,6 +115,16 @@
     assertTrue(ended[0].toSeconds() <= 40 + values / 3 + 5, "ended after " + ended[0]);
   }
 
+  @TestFactory
+  Stream<DynamicTest> theLeaderMeetsATroubleAtEachStepOfACopy() {
+    return Steps.each(
+        TRANSACTIONS,
+        (trouble, number) ->
+            COPIES.formatted(
+                "at 20.001 at-commit %d %s".formatted(number, trouble),
+                "at 70.001 at-commit %d %s".formatted(number, trouble)));
+  }
+
   private static void awaitLevel(World world, long[] writes, Duration[] ended) {
     world.at(
         World.START.plusSeconds(41),
