Take stored values, unused ones and the shared state out of two large classes

Change: StoredValues keeps what the watch tells of stored values, UnusedValues what is to be removed; LeaderComponents makes what all parts share in a method of its own. RecordLayout says whether a key is of its layout. No decision is changed.

--- a/src/main/java/io/pearscale/scheduler/LeaderComponents.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderComponents.java
@@ -43,27 +43,17 @@
   LeaderComponents(Environment env, TermExecutor executor, Consumer<CloudActor.Event> cloudEvents) {
     Settings settings = env.settings();
     Listener listener = env.listener();
-    InstantSource clock = env.loop().clock();
-    Map<String, Team> teams = new HashMap<>();
-    settings.teams().forEach(team -> teams.put(team.name(), team));
+    Map<String, Team> teams = teams(settings);
     WorkerTimes times = WorkerTimes.of(settings.workers());
     MachineCatalogue catalogue = new MachineCatalogue();
     JobClasses classes = new JobClasses(settings.objectives(), catalogue.types());
     JobOrder order = new JobOrder(settings.objectives(), classes);
-    Runnable requestPass = this::requestPass;
-    leadership = new Leadership(clock, settings.hold());
-    records = new LeaderRecords(settings.stateLimits(), env.level(), clock, this::requestCommit);
-    jobs =
-        new JobTable(
-            teams, leadership, clock, env.timeOfDay(), env.level(), classes::note, requestPass);
-    DecisionLog decisions = new DecisionLog(leadership, clock);
-    Duration forming = settings.workers().gangs().map(GangTimes::forming).orElse(Duration.ZERO);
-    gangs = new Gangs(leadership, clock, forming);
-    inventory =
-        new MachineInventory(
-            catalogue, teams, leadership, jobs, records, clock, requestPass, decisions);
-    LeaderState shared =
-        new LeaderState(leadership, jobs, inventory, records, clock, requestPass, decisions, gangs);
+    LeaderState shared = state(env, teams, classes, catalogue);
+    leadership = shared.leadership();
+    records = shared.records();
+    jobs = shared.jobs();
+    gangs = shared.gangs();
+    inventory = shared.inventory();
     statistics = new LeaderStatistics(shared);
     stops = new TaskStops(shared, times);
     ReportProcessor processor =
@@ -93,11 +83,36 @@
             dispatcher,
             recovery,
             drains);
-    raiser = new LevelRaiser(env.level(), settings.hosts(), clock);
+    raiser = new LevelRaiser(env.level(), settings.hosts(), shared.clock());
     writer = new RecordWriter(shared, env, sources(env), executor, dispatcher, retirement);
     counts = new TaskCounts(jobs, listener::counts);
   }
 
+  private static Map<String, Team> teams(Settings settings) {
+    Map<String, Team> teams = new HashMap<>();
+    settings.teams().forEach(team -> teams.put(team.name(), team));
+    return teams;
+  }
+
+  /** What all parts share. */
+  private LeaderState state(
+      Environment env, Map<String, Team> teams, JobClasses classes, MachineCatalogue catalogue) {
+    Settings settings = env.settings();
+    InstantSource clock = env.loop().clock();
+    Runnable requestPass = this::requestPass;
+    Leadership term = new Leadership(clock, settings.hold());
+    LeaderRecords stored =
+        new LeaderRecords(settings.stateLimits(), env.level(), clock, this::requestCommit);
+    JobTable table =
+        new JobTable(teams, term, clock, env.timeOfDay(), env.level(), classes::note, requestPass);
+    DecisionLog decisions = new DecisionLog(term, clock);
+    Duration forming = settings.workers().gangs().map(GangTimes::forming).orElse(Duration.ZERO);
+    MachineInventory machines =
+        new MachineInventory(catalogue, teams, term, table, stored, clock, requestPass, decisions);
+    Gangs attempts = new Gangs(term, clock, forming);
+    return new LeaderState(term, table, machines, stored, clock, requestPass, decisions, attempts);
+  }
+
   private Optional<DrainCoordinator> drains(
       Environment env, LeaderState shared, WorkerTimes times, MachineRetirement retirement) {
     return env.operations()
--- a/src/main/java/io/pearscale/scheduler/LeaderRecords.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderRecords.java
@@ -1,13 +1,11 @@
 package io.pearscale.scheduler;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Malformed;
 import io.pearscale.protocol.Settings.State;
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.Marks;
 import io.pearscale.storage.RecordLayout;
-import io.pearscale.storage.ReplicaActor.KeyChange;
 import io.pearscale.storage.Roster;
 import io.pearscale.upgrade.LevelGate;
 import java.time.Duration;
@@ -15,13 +13,10 @@
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 
 /**
  * The records that a leader leaves to its successor: which machines there are, and on which of them
@@ -40,9 +35,7 @@
   private final int largestValue;
   private final InstantSource clock;
   private final Runnable requestCommit;
-  private final Map<String, JsonNode> storedMarks = new TreeMap<>();
-  private final Map<String, JsonNode> storedRoster = new TreeMap<>();
-  private final Set<String> storedTypes = new HashSet<>();
+  private final StoredValues storedValues = new StoredValues();
   private final MachineNumbers numbers = new MachineNumbers();
   private final FormerRecords former = new FormerRecords();
   private final RecordMigration migration;
@@ -55,7 +48,7 @@
   /** Parts whose records were found in the layout that is written when the term began. */
   private final Set<JobPart> found = new HashSet<>();
 
-  private final Set<String> garbage = new LinkedHashSet<>();
+  private final UnusedValues unused = new UnusedValues();
   private boolean catalogueDue;
 
   /**
@@ -83,7 +76,7 @@
     refused.clear();
     ended.clear();
     found.clear();
-    garbage.clear();
+    unused.clear();
   }
 
   private RecordLayout layoutInForce() {
@@ -97,31 +90,15 @@
 
   // ---- What is stored ----
 
-  /** All keys are about to be read anew. */
-  void forgetStored() {
-    storedMarks.clear();
-    storedRoster.clear();
-  }
-
-  /** A stored value of marks or of the roster has changed. */
-  void storedChanged(KeyChange change) {
-    Map<String, JsonNode> stored = Keys.isMarks(change.key()) ? storedMarks : storedRoster;
-    change
-        .entry()
-        .ifPresentOrElse(
-            e -> stored.put(change.key(), e.value()), () -> stored.remove(change.key()));
-  }
-
-  /** The stored catalogue has these types. */
-  void storedCatalogueIs(List<MachineType> types) {
-    storedTypes.clear();
-    types.forEach(type -> storedTypes.add(type.name()));
+  /** What is stored, as the watch tells it. */
+  StoredValues storedValues() {
+    return storedValues;
   }
 
   /** All that is stored, decoded, for a term that begins. */
   StoredRecords decodeStored() throws Malformed {
-    migration.begin(storedRoster);
-    return StoredRecords.decode(storedRoster, storedMarks, layoutInForce());
+    migration.begin(storedValues.roster());
+    return StoredRecords.decode(storedValues.roster(), storedValues.marks(), layoutInForce());
   }
 
   /** Takes over a machine's record; one of the former layout is to be copied. */
@@ -186,18 +163,18 @@
     Shards<JobPart> formerMarks = marks;
     Shards<Machine> formerRoster = roster;
     layout = layoutInForce();
-    garbage.clear();
+    unused.clear();
     former.clear();
     refused.clear();
     emptyShards();
-    for (String key : storedRoster.keySet()) {
+    for (String key : storedValues.roster().keySet()) {
       if (RecordLayout.ofRoster(key).orElseThrow() == before) {
         Collection<Machine> machines = formerRoster.items(Keys.number(key)).values();
         former.add(key, machines);
       }
     }
     formerRoster.all().forEach(this::copyMachine);
-    for (String key : storedMarks.keySet()) {
+    for (String key : storedValues.marks().keySet()) {
       if (RecordLayout.ofMarks(key).orElseThrow() == before) {
         former.add(key, inLayout(formerMarks.items(Keys.number(key)).values()));
       }
@@ -316,7 +293,7 @@
 
   /** The cloud offers these types; the catalogue is stored if it has others. */
   void catalogueIs(Set<String> names) {
-    catalogueDue = !names.equals(storedTypes);
+    catalogueDue = !names.equals(storedValues.types());
     requestCommit.run();
   }
 
@@ -327,22 +304,14 @@
 
   /** Finds stored values in which nothing lives any more. */
   void collectGarbage() {
-    for (String key : storedMarks.keySet()) {
-      if (isPresent(key) && marks.isEmpty(Keys.number(key))) {
-        garbage.add(key);
-      }
-    }
-    for (String key : storedRoster.keySet()) {
-      if (isPresent(key) && roster.isEmpty(Keys.number(key))) {
-        garbage.add(key);
-      }
-    }
-    former.removable(garbage::add);
+    unused.find(storedValues, this::isUnused);
+    former.removable(unused::add);
   }
 
-  /** Whether the key belongs to the layout that is written. */
-  private boolean isPresent(String key) {
-    return key.startsWith(layout.marksPrefix()) || key.startsWith(layout.rosterPrefix());
+  /** Whether nothing is left of a value of the layout that is written. */
+  private boolean isUnused(String key) {
+    int value = Keys.number(key);
+    return layout.has(key) && (Keys.isMarks(key) ? marks.isEmpty(value) : roster.isEmpty(value));
   }
 
   /** Whether something waits to be written now. */
@@ -351,7 +320,7 @@
     return catalogueDue
         || layout != layoutInForce()
         || !ended.isEmpty()
-        || !garbage.isEmpty()
+        || !unused.isEmpty()
         || migration.isDue(now)
         || !roster.urgent().isEmpty()
         || !marks.urgent().isEmpty()
@@ -380,7 +349,7 @@
     Instant now = clock.instant();
     writeRosters(roster.overdue(now), transaction);
     writeMarks(marks.overdue(now), transaction);
-    removeGarbage(transaction);
+    unused.fill(transaction, key -> !layout.has(key) || isUnused(key));
     if (migration.isDue(now)) {
       migrate(transaction, now);
     }
@@ -411,7 +380,7 @@
     for (int value : values) {
       if (transaction.hasRoom() && refused.mayWrite(layout.rosterKey(value))) {
         transaction.addRoster(layout, value, roster);
-        garbage.remove(layout.rosterKey(value));
+        unused.remove(layout.rosterKey(value));
       }
     }
   }
@@ -420,7 +389,7 @@
     for (int value : values) {
       if (refused.mayWrite(layout.marksKey(value)) && writeMachinesOf(value, transaction)) {
         transaction.addMarks(layout, value, marks, this::numberOf);
-        garbage.remove(layout.marksKey(value));
+        unused.remove(layout.marksKey(value));
       }
     }
   }
@@ -456,23 +425,6 @@
         : Marks.numberOfPlace(home.get().shard(), home.get().place(), Shards.PLACES);
   }
 
-  private void removeGarbage(LeaderTransaction transaction) {
-    for (Iterator<String> it = garbage.iterator();
-        it.hasNext() && transaction.hasRoomForRemoval(); ) {
-      String key = it.next();
-      if (isPresent(key) && isReused(key)) {
-        it.remove();
-      } else {
-        transaction.addRemoval(key);
-      }
-    }
-  }
-
-  private boolean isReused(String key) {
-    int value = Keys.number(key);
-    return Keys.isMarks(key) ? !marks.isEmpty(value) : !roster.isEmpty(value);
-  }
-
   /** The transaction was not applied, as far as known: its values are to be written again. */
   void writeAgain(LeaderTransaction transaction) {
     transaction.rosters().forEach(roster::due);
@@ -496,7 +448,7 @@
             });
     transaction.rosters().forEach(number -> migration.written(number, transaction.level()));
     for (String key : transaction.dropped()) {
-      garbage.remove(key);
+      unused.remove(key);
       former.removed(key);
       migration.removed(key);
     }
--- a/src/main/java/io/pearscale/scheduler/SchedulerActor.java
+++ b/src/main/java/io/pearscale/scheduler/SchedulerActor.java
@@ -173,7 +173,7 @@
   private void loaded(Loaded m) {
     jobs.missingIn(m.all.keySet()).forEach(this::jobOver);
     jobs.forgetUnreadable();
-    records.forgetStored();
+    records.storedValues().forget();
     parts.raiser.forgetStored();
     parts.drains.ifPresent(DrainCoordinator::forgetStored);
     m.all.forEach((key, entry) -> changed(new KeyChange(key, Optional.of(entry))));
@@ -201,14 +201,14 @@
         jobOver(Keys.name(key));
       }
     } else if (Keys.isMarks(key) || Keys.isRoster(key)) {
-      records.storedChanged(change);
+      records.storedValues().changed(change);
     } else if (Keys.isDrain(key) || Keys.isDrainMachines(key) || Keys.isDisruptions(key)) {
       parts.drains.ifPresent(drains -> drains.storedChanged(change));
     } else if (Keys.isMember(key)) {
       parts.raiser.storedChanged(change);
     } else if (key.equals(Keys.CATALOGUE) && change.entry().isPresent()) {
       List<MachineType> types = MachineType.parseAll(change.entry().get().value());
-      records.storedCatalogueIs(types);
+      records.storedValues().catalogueIs(types);
       if (!leadership.leading() || inventory.catalogue().types().isEmpty()) {
         inventory.updateCatalogue(types);
       }
--- a/src/main/java/io/pearscale/storage/RecordLayout.java
+++ b/src/main/java/io/pearscale/storage/RecordLayout.java
@@ -50,6 +50,11 @@
     return Arrays.stream(values()).filter(l -> key.startsWith(l.rosterPrefix)).findFirst();
   }
 
+  /** Whether the key belongs to this layout. */
+  public boolean has(String key) {
+    return key.startsWith(marksPrefix) || key.startsWith(rosterPrefix);
+  }
+
   /** What the keys of all marks begin with. */
   public String marksPrefix() {
     return marksPrefix;
