Start urgent tasks where their image is, and fetch few images at a time

Cause: a random visit of a large fleet hardly ever meets one of the few machines that have an image, so tasks that are expected to start within seconds fetched it although others had it and room.

Change: where a class is expected to start within a time, up to half of the machines that a visit looks for are ones with the image. A gang's image weighs by the time that it may take to start. Other images that are being fetched on a machine count against it.

--- a/src/main/java/io/pearscale/scheduler/Machine.java
+++ b/src/main/java/io/pearscale/scheduler/Machine.java
@@ -7,9 +7,11 @@
 import io.pearscale.storage.Roster;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** A machine, as the leader sees it. */
 final class Machine {
@@ -204,6 +206,19 @@
     }
   }
 
+  /** How many images beside that one are fetched, or are to be, for tasks that are placed here. */
+  int otherFetches(String image) {
+    Set<String> others = new HashSet<>();
+    for (Placement placement : placements.values()) {
+      String other = placement.job.spec.image();
+      boolean fetches = placement.stage.compareTo(Placement.Stage.FETCHING) <= 0;
+      if (fetches && !other.equals(image) && !images.containsKey(other)) {
+        others.add(other);
+      }
+    }
+    return others.size();
+  }
+
   void add(Placement p) {
     placements.put(p.task, p);
     touch();
--- a/src/main/java/io/pearscale/scheduler/Placer.java
+++ b/src/main/java/io/pearscale/scheduler/Placer.java
@@ -96,6 +96,7 @@
   private final class Visit {
     final int start = open.start();
     int next;
+    int nextHolder;
     final List<Machine> found = new ArrayList<>();
     final Map<String, Double> crowding;
     boolean noVictims;
@@ -119,6 +120,7 @@
   private final Map<String, Team> teams;
   private final Map<Machine, Room> rooms = new HashMap<>();
   private final Map<TaskClass, Visit> visits = new HashMap<>();
+  private final Map<String, List<Machine>> holders = new HashMap<>();
   private final Map<Shape, Map<String, Integer>> zoneRoom = new HashMap<>();
   private final Set<Hunt> barren = new HashSet<>();
 
@@ -238,35 +240,7 @@
     }
     Predicate<Machine> allowed = machine -> among.test(machine) && allowedNow(job, machine);
     Visit v = visits.computeIfAbsent(TaskClass.of(job.spec), k -> new Visit(job));
-    Machine best = null;
-    double bestScore = Double.MAX_VALUE;
-    v.found.removeIf(m -> !room(m).fits(job));
-    int usable = 0;
-    for (Machine m : v.found) {
-      if (allowed.test(m)) {
-        usable++;
-        double s = score(job, m, v);
-        if (s < bestScore) {
-          bestScore = s;
-          best = m;
-        }
-      }
-    }
-    while (usable < tuning.sample() && v.next < open.size()) {
-      Machine m = open.get(v.start, v.next++);
-      if (!job.spec.allows(m.type, m.zone, m.spot) || !room(m).fits(job)) {
-        continue;
-      }
-      v.found.add(m);
-      if (allowed.test(m)) {
-        usable++;
-        double s = score(job, m, v);
-        if (s < bestScore) {
-          bestScore = s;
-          best = m;
-        }
-      }
-    }
+    Machine best = bestWithRoom(job, v, allowed);
     if (best != null) {
       Optional<Choice> cached =
           mayStopOthers ? evictForImage(job, best, allowed) : Optional.empty();
@@ -298,6 +272,71 @@
     return byEviction;
   }
 
+  /**
+   * The best of the first few machines that have room for the task. Where tasks are expected to
+   * start soon, up to half of them are machines that have the image, if there are so many: in a
+   * large fleet a random visit would hardly ever meet one.
+   */
+  private Machine bestWithRoom(Job job, Visit visit, Predicate<Machine> allowed) {
+    visit.found.removeIf(machine -> !room(machine).fits(job));
+    if (startWithin.apply(job.spec).isPresent()) {
+      meetHolders(job, visit, allowed);
+    }
+    long usable = visit.found.stream().filter(allowed).count();
+    while (usable < tuning.sample() && visit.next < open.size()) {
+      Machine machine = open.get(visit.start, visit.next++);
+      if (meet(job, visit, machine) && allowed.test(machine)) {
+        usable++;
+      }
+    }
+    Machine best = null;
+    double bestScore = Double.MAX_VALUE;
+    for (Machine machine : visit.found) {
+      double score = allowed.test(machine) ? score(job, machine, visit) : Double.MAX_VALUE;
+      if (score < bestScore) {
+        bestScore = score;
+        best = machine;
+      }
+    }
+    return best;
+  }
+
+  private void meetHolders(Job job, Visit visit, Predicate<Machine> allowed) {
+    String image = job.spec.image();
+    List<Machine> imageHolders = holders.computeIfAbsent(image, this::holdersOf);
+    long usable =
+        visit.found.stream().filter(m -> m.images.containsKey(image) && allowed.test(m)).count();
+    while (usable < tuning.sample() / 2 && visit.nextHolder < imageHolders.size()) {
+      Machine machine = imageHolders.get(visit.nextHolder++);
+      if (meet(job, visit, machine) && allowed.test(machine)) {
+        usable++;
+      }
+    }
+  }
+
+  /** The machines with some room that have the image, in the order of this pass. */
+  private List<Machine> holdersOf(String image) {
+    List<Machine> found = new ArrayList<>();
+    for (int i = 0; i < open.size(); i++) {
+      Machine machine = open.get(/* start= */ 0, i);
+      if (machine.images.containsKey(image)) {
+        found.add(machine);
+      }
+    }
+    return found;
+  }
+
+  /** Adds a machine that has room for the task to those that were met for its class. */
+  private boolean meet(Job job, Visit visit, Machine machine) {
+    boolean hasRoom =
+        job.spec.allows(machine.type, machine.zone, machine.spot) && room(machine).fits(job);
+    if (!hasRoom || visit.found.contains(machine)) {
+      return false;
+    }
+    visit.found.add(machine);
+    return true;
+  }
+
   /**
    * Whether a task is the first of a batch job that has waited for long: stopped before it counts
    * as a start, the job would go on waiting, and the youngest are the first to be stopped.
@@ -434,7 +473,7 @@
         + mates / Math.max(1, s.tasks())
         + tuning.sameZoneWeight() * inZone / Math.max(1, s.tasks())
         + tuning.zoneBalanceWeight() * visit.crowding.getOrDefault(m.zone, 1.0)
-        - (m.images.containsKey(s.image()) ? tuning.imageWeight() * fetchShare(job, m) : 0)
+        + tuning.imageWeight() * fetchShare(job, m) * fetchesInTheWay(s.image(), m)
         + (s.spot() && !m.spot ? tuning.ordinaryWeight() : 0)
         // A machine that just missed a direct command gets its starts by report only, which is
         // slow.
@@ -463,12 +502,20 @@
    * for a start that is expected at once. So a cached image doesn't break up whole machines in
    * vain.
    */
-  private static double fetchShare(Job job, Machine m) {
+  private double fetchShare(Job job, Machine m) {
     double fetch = Fields.seconds(m.type.fetchTime(job.spec.imageGb()));
     double run = job.spec.service() ? 1 : Fields.seconds(job.spec.estimate());
+    if (job.spec.gang()) {
+      run = startWithin.apply(job.spec).map(Fields::seconds).orElse(run);
+    }
     return fetch / Math.max(1e-3, fetch + run);
   }
 
+  /** How many fetches would share the rate with the image's own; -1 if that is cached. */
+  private static int fetchesInTheWay(String image, Machine m) {
+    return m.images.containsKey(image) ? -1 : m.otherFetches(image);
+  }
+
   private Map<String, Integer> roomByZone(Job job) {
     return zoneRoom.computeIfAbsent(Shape.of(job.spec), k -> countRoomByZone(job));
   }
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -205,7 +205,7 @@
         0,
         number(o, "mem", 1),
         o.getOrDefault("image", "img"),
-        1,
+        number(o, "image-gb", 1),
         Optional.ofNullable(o.get("types")).map(t -> List.of(t.split(","))),
         Optional.ofNullable(o.get("zone")),
         o.containsKey("one-zone"),
--- a/src/test/java/io/pearscale/sim/SimWorker.java
+++ b/src/test/java/io/pearscale/sim/SimWorker.java
@@ -446,7 +446,8 @@
       end(key, t, spec == null ? "no_such" : "no_room");
       return;
     }
-    Duration fetch = images.contains(spec.image()) ? Duration.ofMillis(10) : Duration.ofSeconds(1);
+    Duration fetch =
+        images.contains(spec.image()) ? Duration.ofMillis(10) : type.fetchTime(spec.imageGb());
     world.after(
         fetch,
         () ->
