Spare gangs that run when others have to make room

A gang loses all of its tasks, and its start doesn't count.

Change: while the best victims would end a gang that runs, the search meets four times as many machines; for the sake of an image no such gang is ended.

Ruled out: never ending a gang for a task of higher priority, which the design decides otherwise.

--- a/src/main/java/io/pearscale/scheduler/Placer.java
+++ b/src/main/java/io/pearscale/scheduler/Placer.java
@@ -115,6 +115,9 @@
   /** A replica that has run for less is not moved: its start would have been in vain. */
   static final Duration SETTLED = Duration.ofSeconds(40);
 
+  /** So many times as many machines are met while the best victims would end a gang that runs. */
+  private static final int SEARCH_TO_SPARE_GANGS = 4;
+
   private final Tuning tuning;
   private final RandomGenerator random;
   private final Map<String, Team> teams;
@@ -363,7 +366,7 @@
   /**
    * A place without victims does not win if the image would have to be fetched there for longer
    * than the class is expected to start in, and another machine has it: a few low tasks are done
-   * again, where else the start would be late for certain.
+   * again, where else the start would be late for certain. A gang that runs is not ended for that.
    */
   private Optional<Choice> evictForImage(Job job, Machine free, Predicate<Machine> allowed) {
     JobSpec s = job.spec;
@@ -538,8 +541,9 @@
     int start = order.start();
     int met = 0;
     // As with room, the best of the first that will do: at size, seeing all would cost more than a
-    // better victim saves.
-    for (int i = 0; i < order.size() && met < tuning.sample(); i++) {
+    // better victim saves. Ending a gang costs all of its tasks, so then the search is longer.
+    int most = tuning.sample();
+    for (int i = 0; i < order.size() && met < most; i++) {
       Machine m = order.get(start, i);
       if (!job.spec.allows(m.type, m.zone, m.spot)
           || !allowed.test(m)
@@ -567,12 +571,14 @@
         trial.give(p.job);
         victims.add(p);
       }
-      if (!trial.fits(job) || victims.isEmpty()) {
+      boolean endsGang = losses(victims) > victims.size();
+      if (!trial.fits(job) || victims.isEmpty() || (image.isPresent() && endsGang)) {
         continue;
       }
       met++;
       if (best == null || better(victims, m, best, job)) {
         best = new Choice(m, victims);
+        most = endsGang ? SEARCH_TO_SPARE_GANGS * tuning.sample() : tuning.sample();
       }
     }
     if (best == null) {
