Drain a gang whole or not at all, and say what a gang waits for

Cause: a drain asked the budget for one task of a gang at a time and stopped it alone; the others went with it, uncounted and without saving. A waiting gang was given the reason of single tasks.

Change: a task's view names the tasks that end with it; the ledger grants several tasks of a job or none; all are durable before the first is told, and the gang is stopped in order. What operators' commands show is a part of its own, StatusPublisher, out of the coordinator of drains; why JOB says what a gang is held up by and on which machines. The search through all open disruptions for each stop is a look-up now.

Ruled out: counting a gang as one task: as many tasks as it has are down. Reserving room for mates on machines that stay in service: it is theirs.

--- a/src/main/java/io/pearscale/drain/DisruptionLedger.java
+++ b/src/main/java/io/pearscale/drain/DisruptionLedger.java
@@ -81,17 +81,35 @@
     loads = new HashMap<>(current);
   }
 
+  /** How the task is disrupted; empty if it is not. */
+  public Optional<Disruption> find(TaskId task) {
+    return Optional.ofNullable(open.get(task));
+  }
+
   /**
    * Asks for a disruption of a task that runs, and counts it if it is granted.
    *
    * @return why it is refused; empty if it is granted
    */
   public Optional<String> spend(Disruption disruption) {
+    return spend(List.of(disruption));
+  }
+
+  /**
+   * Asks for the disruption of several tasks of one job, and counts all of them or none.
+   *
+   * @return why they are refused; empty if they are granted
+   */
+  public Optional<String> spend(List<Disruption> together) {
     if (unknown.isPresent()) {
       return unknown;
     }
-    Group group = new Group(disruption.team(), disruption.jobClass());
-    Load added = new Load(0, 1, disruption.lost());
+    Disruption any = together.get(0);
+    Group group = new Group(any.team(), any.jobClass());
+    Load added = new Load(0, 0, Duration.ZERO);
+    for (Disruption disruption : together) {
+      added = added.plus(new Load(0, 1, disruption.lost()));
+    }
     List<DisruptionBudget> covering = budgetsFor(group);
     if (covering.isEmpty()) {
       return Optional.of("no budget covers " + group.team + " " + group.jobClass);
@@ -102,7 +120,7 @@
         return objection;
       }
     }
-    open.put(disruption.task(), disruption);
+    together.forEach(disruption -> open.put(disruption.task(), disruption));
     loads = new HashMap<>(loads);
     loads.merge(group, added, Load::plus);
     return Optional.empty();
--- a/src/main/java/io/pearscale/drain/DrainPlanner.java
+++ b/src/main/java/io/pearscale/drain/DrainPlanner.java
@@ -33,6 +33,7 @@
    * @param ending whether it is about to be stopped, for whatever reason
    * @param remaining what it still takes, if that is known: services have no end
    * @param lost the work that a stop would lose
+   * @param mates the other tasks of its gang: they end with it, wherever they are
    */
   public record TaskView(
       TaskId task,
@@ -41,7 +42,21 @@
       boolean up,
       boolean ending,
       Optional<Duration> remaining,
-      Duration lost) {}
+      Duration lost,
+      List<TaskId> mates) {
+
+    /** What a stop disrupts. */
+    List<Disruption> disruptions() {
+      List<Disruption> all = new ArrayList<>();
+      all.add(disruption(task));
+      mates.forEach(mate -> all.add(disruption(mate)));
+      return all;
+    }
+
+    private Disruption disruption(TaskId stopped) {
+      return new Disruption(stopped, team, jobClass, /* voluntary= */ true, lost);
+    }
+  }
 
   /**
    * A machine as it is now.
@@ -313,14 +328,14 @@
       if (task == null) {
         return false;
       }
+      if (budgets.isOpen(task.task)) {
+        return true; // It ends with another task of its gang.
+      }
       Optional<String> objection = room.reserve(task);
       if (objection.isPresent()) {
         plan.lackingRoom.add(task);
       } else {
-        objection =
-            budgets.spend(
-                new Disruption(
-                    task.task, task.team, task.jobClass, /* voluntary= */ true, task.lost));
+        objection = budgets.spend(task.disruptions());
       }
       if (objection.isPresent()) {
         reasons.add(task.task + ": " + objection.get());
--- a/src/main/java/io/pearscale/scheduler/DrainCoordinator.java
+++ b/src/main/java/io/pearscale/scheduler/DrainCoordinator.java
@@ -1,8 +1,6 @@
 package io.pearscale.scheduler;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pearscale.drain.Disruption;
-import io.pearscale.drain.DisruptionBudget;
 import io.pearscale.drain.DisruptionBudget.Load;
 import io.pearscale.drain.DisruptionLedger;
 import io.pearscale.drain.DisruptionLedger.Group;
@@ -11,9 +9,7 @@
 import io.pearscale.drain.DrainPlanner.MachineView;
 import io.pearscale.drain.DrainPlanner.Plan;
 import io.pearscale.drain.DrainPlanner.TaskView;
-import io.pearscale.drain.DrainRequest;
 import io.pearscale.drain.DrainSettings;
-import io.pearscale.drain.DrainStatus;
 import io.pearscale.protocol.Malformed;
 import io.pearscale.protocol.TaskId;
 import io.pearscale.scheduler.Machine.Life;
@@ -22,7 +18,6 @@
 import io.pearscale.storage.Keys;
 import io.pearscale.storage.Maintenance;
 import io.pearscale.storage.ReplicaActor.KeyChange;
-import io.pearscale.transport.MessagePack;
 import io.pearscale.upgrade.Feature;
 import io.pearscale.upgrade.LevelGate;
 import java.time.Duration;
@@ -45,12 +40,6 @@
   private static final Logger LOG = LoggerFactory.getLogger(DrainCoordinator.class);
   private static final Duration SPACING = Duration.ofSeconds(1);
 
-  /** The time in what is published changes in such steps. */
-  private static final Duration STATUS_STEP = Duration.ofSeconds(10);
-
-  /** What a reason takes of a value, with the job's id: half of a value is for reasons. */
-  private static final int REASON_SIZE = 200;
-
   /** A machine has shown that it works when it has reported for so many leases without trouble. */
   private static final int LEASES_OF_PROBATION = 2;
 
@@ -59,6 +48,7 @@
   private final MachineInventory inventory;
   private final LeaderRecords records;
   private final WorkerTimes times;
+  private final TaskStops stops;
   private final LevelGate level;
   private final InstantSource timeOfDay;
   private final CommandDispatcher dispatcher;
@@ -68,8 +58,7 @@
   private final DrainRequests requests = new DrainRequests();
   private final DisruptionRecords disruptions;
   private final PublishedRecords published;
-  private final int mostWaiting;
-  private final int mostReasons;
+  private final StatusPublisher status;
   private final Map<Machine, Instant> probationSince = new HashMap<>();
   private List<TaskView> lackingRoom = List.of();
   private Instant next = Instant.MIN;
@@ -78,6 +67,7 @@
       LeaderState state,
       DrainSettings settings,
       WorkerTimes times,
+      TaskStops stops,
       LevelGate level,
       int largestValue,
       InstantSource timeOfDay,
@@ -88,6 +78,7 @@
     this.inventory = state.inventory();
     this.records = state.records();
     this.times = times;
+    this.stops = stops;
     this.level = level;
     this.timeOfDay = timeOfDay;
     this.dispatcher = dispatcher;
@@ -96,8 +87,7 @@
     this.ledger = new DisruptionLedger(settings.budgets());
     this.disruptions = new DisruptionRecords(largestValue, records::requestCommit, this::carryOut);
     this.published = new PublishedRecords(state.clock(), largestValue);
-    this.mostWaiting = largestValue / 2 / REASON_SIZE;
-    this.mostReasons = Math.max(1, largestValue / 2 / REASON_SIZE);
+    this.status = new StatusPublisher(state, ledger, published, timeOfDay, largestValue);
     inventory.onRemoved(this::noteRemoved);
   }
 
@@ -162,9 +152,9 @@
       carryOut(decide(now));
     } else {
       releaseAll();
-      requests.all().forEach(drain -> publishHeldUp(drain.request()));
+      requests.all().forEach(drain -> status.publishHeldUp(drain.request()));
     }
-    publishStatus();
+    status.publishCluster();
   }
 
   /** Operators choose machines from the records: idle ones have to be in them as well. */
@@ -206,16 +196,12 @@
     plan.giveBack().stream()
         .map(inventory::get)
         .forEach(machine -> retirement.retire(machine, Reason.DRAINED));
-    plan.stops()
-        .forEach(
-            task ->
-                ledger.open().stream()
-                    .filter(d -> d.task().equals(task.task()))
-                    .forEach(disruptions::record));
+    for (TaskView task : plan.stops()) {
+      ledger.find(task.task()).ifPresent(disruptions::record);
+      task.mates().forEach(mate -> ledger.find(mate).ifPresent(disruptions::record));
+    }
     lackingRoom = plan.lackingRoom();
-    plan.statuses()
-        .forEach(
-            (id, status) -> published.publish(Keys.drainStatus(id), status.toNode(mostReasons)));
+    status.publish(plan.statuses());
   }
 
   private void change(String name, Maintenance maintenance) {
@@ -297,20 +283,40 @@
         Duration.ZERO);
   }
 
-  /** The disruption is durable: its task may be stopped. */
+  /**
+   * The disruption is durable: its task may be stopped, and with it its gang, once that is durable
+   * for all of them.
+   */
   private void carryOut(Disruption disruption) {
     Optional<Placement> placement = placementOf(disruption.task());
-    if (placement.isPresent() && !placement.get().stopping) {
-      Placement p = placement.get();
-      LOG.info(
-          "event=drain_stop term={} machine={} task={} attempt={}",
-          leadership.term(),
-          p.machine.name,
-          p.task,
-          p.attempt);
-      inventory.stop(p);
-      dispatcher.sendDue(p.machine);
+    if (placement.isEmpty() || placement.get().stopping) {
+      return;
+    }
+    Placement p = placement.get();
+    if (matesOf(p).stream().anyMatch(disruptions::isPending)) {
+      return;
+    }
+    LOG.info(
+        "event=drain_stop term={} machine={} task={} attempt={}",
+        leadership.term(),
+        p.machine.name,
+        p.task,
+        p.attempt);
+    stops.stop(p);
+    List.copyOf(p.job.placed.values()).stream()
+        .filter(stopped -> stopped.stopping)
+        .forEach(stopped -> dispatcher.sendDue(stopped.machine));
+  }
+
+  /** The other tasks of the placement's gang; none if it is of no gang. */
+  private static List<TaskId> matesOf(Placement placement) {
+    if (!placement.job.spec.gang()) {
+      return List.of();
     }
+    return placement.job.placed.values().stream()
+        .filter(mate -> mate != placement)
+        .map(mate -> mate.task)
+        .toList();
   }
 
   private Optional<Placement> placementOf(TaskId task) {
@@ -421,7 +427,8 @@
         p.job.spec.service() || p.job.spec.estimate().minus(ran).isNegative()
             ? Optional.empty()
             : Optional.of(p.job.spec.estimate().minus(ran)),
-        p.job.spec.service() || saves ? Duration.ZERO : ran);
+        p.job.spec.service() || saves ? Duration.ZERO : ran,
+        matesOf(p));
   }
 
   /** What should be rented so that drains find room. */
@@ -437,52 +444,4 @@
     tasks.forEach((job, count) -> demands.add(new Renter.Demand(job, count, Optional.empty())));
     return demands;
   }
-
-  // ---- What operators see ----
-
-  private void publishHeldUp(DrainRequest request) {
-    DrainStatus status =
-        new DrainStatus(
-            DrainStatus.State.REQUESTED,
-            0,
-            0,
-            0,
-            0,
-            0,
-            List.of("level 1 of the stored state is needed: pearscale upgrade finalise"));
-    published.publish(Keys.drainStatus(request.id()), status.toNode(mostReasons));
-  }
-
-  private void publishStatus() {
-    // In steps, so that an unchanged cluster costs a write a step and no more.
-    long step = STATUS_STEP.toMillis();
-    long at = timeOfDay.instant().toEpochMilli() / step * step;
-    ObjectNode node = MessagePack.map().put("term", leadership.term()).put("atMs", at);
-    var list = node.putArray("budgets");
-    for (DisruptionBudget budget : ledger.budgets()) {
-      Load load = ledger.load(budget);
-      list.addObject()
-          .put("budget", budget.toString())
-          .put("tasks", load.total())
-          .put("down", load.down());
-    }
-    var down = node.putArray("disrupted");
-    ledger.open().stream().limit(mostReasons).forEach(d -> down.add(d.task().toString()));
-    ObjectNode waiting = node.putObject("waiting");
-    for (Job job : jobs.waiting()) {
-      if (waiting.size() < mostWaiting) {
-        waiting.put(job.spec.id(), reasonToWait(job));
-      }
-    }
-    published.publish(Keys.STATUS, node);
-  }
-
-  private String reasonToWait(Job job) {
-    if (job.mistaken()) {
-      return "it failed wherever it was tried, and is tried ever more rarely";
-    }
-    return job.noRoom
-        ? "the last pass found no machine with room for one of its tasks, within its team's limit"
-        : "for the next pass";
-  }
 }
--- a/src/main/java/io/pearscale/scheduler/Gangs.java
+++ b/src/main/java/io/pearscale/scheduler/Gangs.java
@@ -13,6 +13,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,6 +22,9 @@
 final class Gangs {
   private static final Logger LOG = LoggerFactory.getLogger(Gangs.class);
 
+  /** So many machines are named at the most where a gang is held up. */
+  private static final int MACHINES_NAMED = 3;
+
   private final Leadership leadership;
   private final InstantSource clock;
   private final Duration forming;
@@ -55,6 +60,44 @@
     return attemptOf(job).phase();
   }
 
+  /** Whether tasks of the gang have machines, but do not run. */
+  boolean isHeldUp(Job job) {
+    Phase phase = phase(job);
+    return phase != Phase.VACANT && phase != Phase.RUNNING;
+  }
+
+  /** What a gang that is held up waits for, in words for operators. */
+  String whatHoldsUp(Job job) {
+    return switch (phase(job)) {
+      case FORMING ->
+          "%d of the %d tasks of its gang have their image, and wait for the others: %s"
+              .formatted(inStage(job, Stage.WAITING), job.spec.tasks(), laggards(job));
+      case ENDING ->
+          "tasks of the attempt before are not yet proven gone: " + machinesOf(job, placed -> true);
+      case UNKNOWN ->
+          "tasks that a former leader placed were not shown yet: "
+              + machinesOf(job, placed -> !placed.confirmed);
+      case VACANT, RUNNING -> "it does not wait";
+    };
+  }
+
+  private static long inStage(Job job, Stage stage) {
+    return job.placed.values().stream().filter(placed -> placed.stage == stage).count();
+  }
+
+  private static String laggards(Job job) {
+    return machinesOf(job, placed -> placed.stage.compareTo(Stage.WAITING) < 0);
+  }
+
+  private static String machinesOf(Job job, Predicate<Placement> which) {
+    return job.placed.values().stream()
+        .filter(which)
+        .limit(MACHINES_NAMED)
+        .map(placed -> placed.machine.name)
+        .distinct()
+        .collect(Collectors.joining(", "));
+  }
+
   /** What is to be done for the gang now. */
   Action next(Job job) {
     GangAttempt attempt = attemptOf(job);
--- a/src/main/java/io/pearscale/scheduler/LeaderComponents.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderComponents.java
@@ -123,6 +123,7 @@
                     shared,
                     set,
                     times,
+                    stops,
                     env.level(),
                     env.settings().stateLimits().valueBytes(),
                     env.timeOfDay(),
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/StatusPublisher.java
@@ -0,0 +1,116 @@
+package io.pearscale.scheduler;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.drain.DisruptionBudget;
+import io.pearscale.drain.DisruptionBudget.Load;
+import io.pearscale.drain.DisruptionLedger;
+import io.pearscale.drain.DrainRequest;
+import io.pearscale.drain.DrainStatus;
+import io.pearscale.storage.Keys;
+import io.pearscale.transport.MessagePack;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+
+/** What operators' commands show: budgets, what is disrupted, drains, and why jobs wait. */
+final class StatusPublisher {
+  /** The time in what is published changes in such steps. */
+  private static final Duration STATUS_STEP = Duration.ofSeconds(10);
+
+  /** What a reason takes of a value, with the job's id: half of a value is for reasons. */
+  private static final int REASON_SIZE = 200;
+
+  private final Leadership leadership;
+  private final JobTable jobs;
+  private final Gangs gangs;
+  private final DisruptionLedger ledger;
+  private final PublishedRecords published;
+  private final InstantSource timeOfDay;
+  private final int mostReasons;
+
+  StatusPublisher(
+      LeaderState state,
+      DisruptionLedger ledger,
+      PublishedRecords published,
+      InstantSource timeOfDay,
+      int largestValue) {
+    this.leadership = state.leadership();
+    this.jobs = state.jobs();
+    this.gangs = state.gangs();
+    this.ledger = ledger;
+    this.published = published;
+    this.timeOfDay = timeOfDay;
+    this.mostReasons = Math.max(1, largestValue / 2 / REASON_SIZE);
+  }
+
+  /** Publishes how drains stand. */
+  void publish(Map<String, DrainStatus> drains) {
+    drains.forEach(
+        (id, status) -> published.publish(Keys.drainStatus(id), status.toNode(mostReasons)));
+  }
+
+  /** Publishes that a drain can't go on before the level of stored state is raised. */
+  void publishHeldUp(DrainRequest request) {
+    DrainStatus status =
+        new DrainStatus(
+            DrainStatus.State.REQUESTED,
+            0,
+            0,
+            0,
+            0,
+            0,
+            List.of("level 1 of the stored state is needed: pearscale upgrade finalise"));
+    publish(Map.of(request.id(), status));
+  }
+
+  /** Publishes the state of the cluster. */
+  void publishCluster() {
+    // In steps, so that an unchanged cluster costs a write a step and no more.
+    long step = STATUS_STEP.toMillis();
+    long at = timeOfDay.instant().toEpochMilli() / step * step;
+    ObjectNode node = MessagePack.map().put("term", leadership.term()).put("atMs", at);
+    var list = node.putArray("budgets");
+    for (DisruptionBudget budget : ledger.budgets()) {
+      Load load = ledger.load(budget);
+      list.addObject()
+          .put("budget", budget.toString())
+          .put("tasks", load.total())
+          .put("down", load.down());
+    }
+    var down = node.putArray("disrupted");
+    ledger.open().stream().limit(mostReasons).forEach(d -> down.add(d.task().toString()));
+    ObjectNode waiting = node.putObject("waiting");
+    for (Job job : jobs.waiting()) {
+      putReason(waiting, job);
+    }
+    for (Job job : jobs.gangs()) {
+      if (gangs.isHeldUp(job)) {
+        putReason(waiting, job);
+      }
+    }
+    published.publish(Keys.STATUS, node);
+  }
+
+  private void putReason(ObjectNode waiting, Job job) {
+    if (waiting.size() < mostReasons) {
+      waiting.put(job.spec.id(), reasonToWait(job));
+    }
+  }
+
+  private String reasonToWait(Job job) {
+    if (job.mistaken()) {
+      return "it failed wherever it was tried, and is tried ever more rarely";
+    }
+    if (job.spec.gang() && gangs.isHeldUp(job)) {
+      return gangs.whatHoldsUp(job);
+    }
+    if (!job.noRoom) {
+      return "for the next pass";
+    }
+    return job.spec.gang()
+        ? "the last pass found no room for all %d tasks of its gang at once%s, within its team's limit"
+            .formatted(job.spec.tasks(), job.spec.oneZone() ? " in one zone" : "")
+        : "the last pass found no machine with room for one of its tasks, within its team's limit";
+  }
+}
--- a/src/test/java/io/pearscale/drain/DrainPlannerTest.java
+++ b/src/test/java/io/pearscale/drain/DrainPlannerTest.java
@@ -46,7 +46,7 @@
 
   private TaskView task(boolean up, Optional<Duration> remaining) {
     TaskId id = new TaskId("wk-" + ++jobs, 0);
-    return new TaskView(id, "t", "c", up, false, remaining, Duration.ZERO);
+    return new TaskView(id, "t", "c", up, false, remaining, Duration.ZERO, List.of());
   }
 
   private void machine(String name, Maintenance maintenance, int tasks) {
@@ -89,6 +89,35 @@
         "" + plan.statuses());
   }
 
+  /** A gang of four has two tasks on a machine that is drained, and two elsewhere. */
+  private void gangOfFour() {
+    List<TaskId> gang = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      gang.add(new TaskId("wk-gang", i));
+    }
+    List<TaskView> here = new ArrayList<>();
+    for (TaskId task : gang.subList(0, 2)) {
+      List<TaskId> mates = gang.stream().filter(mate -> !mate.equals(task)).toList();
+      here.add(new TaskView(task, "t", "c", true, false, Optional.empty(), Duration.ZERO, mates));
+    }
+    machines.put("m-1", new MachineView("m-1", cordoned("d1"), true, true, here));
+    drain("d1", Afterwards.HOLD, Wish.RUN, Optional.empty(), "m-1");
+  }
+
+  @Test
+  void aGangIsDisruptedWholeOrNotAtAll() {
+    gangOfFour();
+    DisruptionLedger tooFew = ledger(Kind.MOST_DOWN, 3);
+    tooFew.update(Map.of(GROUP, new Load(10, 0, Duration.ZERO)));
+    assertEquals(0, plan(tooFew, NOW).stops().size());
+    assertEquals(0, tooFew.open().size());
+
+    DisruptionLedger enough = ledger(Kind.MOST_DOWN, 4);
+    enough.update(Map.of(GROUP, new Load(10, 0, Duration.ZERO)));
+    assertEquals(1, plan(enough, NOW).stops().size());
+    assertEquals(4, enough.open().size());
+  }
+
   @Test
   void whatIsDownAlreadyUsesTheBudgetUp() {
     machine("m-1", cordoned("d1"), 2);
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -383,11 +383,13 @@
   private void drain(List<String> w) {
     Map<String, String> o = options(w.subList(2, w.size()));
     List<String> machines = new ArrayList<>();
+    List<String> named =
+        Arrays.stream(o.getOrDefault("machines", "").split(",")).map(this::name).toList();
     for (SimWorker worker : world.workers.values()) {
       boolean meant =
           o.containsKey("zone")
               ? worker.zone.equals(o.get("zone"))
-              : o.containsKey("all") || List.of(o.get("machines").split(",")).contains(worker.name);
+              : o.containsKey("all") || named.contains(worker.name);
       if (meant && !worker.isDead()) {
         machines.add(worker.name);
       }
