Drill the rollout of gangs with the version in production, from the history

Cause: old and new builds were mixed in the simulated world alone, where the old one is this build held back.

Change: a drill with real processes compiles the version that deploy/service.toml names from the repository's history and replaces it process by process; one comes back old in between. Nobody types a command.

Ruled out: a gang sent while old processes answer: the version in production answers 400 to a shape that it doesn't know, as its users were told.

--- a/src/test/java/io/pearscale/sim/Drill.java
+++ b/src/test/java/io/pearscale/sim/Drill.java
@@ -30,10 +30,14 @@
   }
 
   private static List<String> java(List<String> arguments) {
+    return java(System.getProperty("java.class.path"), arguments);
+  }
+
+  private static List<String> java(String classPath, List<String> arguments) {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(List.of("-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC"));
-    command.addAll(List.of("-cp", System.getProperty("java.class.path")));
+    command.addAll(List.of("-cp", classPath));
     command.add("io.pearscale.cli.Main");
     command.addAll(arguments);
     return command;
@@ -45,12 +49,19 @@
 
   /** Starts a controller with that operations file. */
   void start(int node, String operations) throws IOException {
+    startOf(System.getProperty("java.class.path"), node, operations);
+  }
+
+  /** Starts a controller of the build that has this class path. */
+  void startOf(String classPath, int node, String operations) throws IOException {
     Files.writeString(operations(node), operations);
     String settings = loopback.settingsFile(node).toString();
     loopback.launch(
         node,
         folder,
-        java(List.of("serve", "--config", settings, "--operations", operations(node).toString())));
+        java(
+            classPath,
+            List.of("serve", "--config", settings, "--operations", operations(node).toString())));
   }
 
   /** Runs a command with the settings of the second controller. */
--- a/src/test/java/io/pearscale/sim/LoopbackWorld.java
+++ b/src/test/java/io/pearscale/sim/LoopbackWorld.java
@@ -159,6 +159,8 @@
     return s.append("[facts.workers]\nreport_s = %s\n".formatted(world.report.toMillis() / 1000.0))
         .append("lease_s = %s\n".formatted(world.lease.toMillis() / 1000.0))
         .append("cancel_s = %s\n".formatted(world.cancel.toMillis() / 1000.0))
+        .append("gang_wait_s = %s\n".formatted(world.gangForming.toMillis() / 1000.0))
+        .append("gang_peer_s = %s\n".formatted(world.gangPeerLoss.toMillis() / 1000.0))
         .append("[facts.state]\nrps = 150.0\nwrite_rps = 50.0\nvalue_kb = 8.0\ntxn_ops = 40\n")
         .append("[facts.cloud]\nrps = 4.0\nlist_lag_s = 10.0\n")
         .append("[facts.limits]\nfd_limit = 2000\n")
--- /dev/null
+++ b/src/test/java/io/pearscale/sim/OlderBuild.java
@@ -0,0 +1,89 @@
+package io.pearscale.sim;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import javax.tools.ToolProvider;
+
+/**
+ * The version in production, compiled from the repository's history: the commit that {@code
+ * deploy/service.toml} names.
+ */
+final class OlderBuild {
+  private static final Path SERVICE = Path.of("deploy", "service.toml");
+  private static final Pattern COMMIT = Pattern.compile("production = \"([0-9a-f]{40})\"");
+  private static final String MAIN_SOURCES = "src/main";
+  private static final long PATIENCE_SECONDS = 60;
+
+  private OlderBuild() {}
+
+  /** Whether there is a history to build from: a copy of the sources alone has none. */
+  static boolean hasHistory() {
+    return Files.exists(Path.of(".git"));
+  }
+
+  /**
+   * Compiles it with the libraries of this build.
+   *
+   * @param folder where its sources and classes go
+   * @return the class path that runs it
+   */
+  static String classPath(Path folder) throws Exception {
+    Path archive = folder.resolve("sources.tar");
+    run("git", "archive", "--output", archive.toString(), commit(), MAIN_SOURCES);
+    run("tar", "-xf", archive.toString(), "-C", folder.toString());
+    Path classes = Files.createDirectories(folder.resolve("classes"));
+    List<String> arguments = new ArrayList<>(List.of("-d", classes.toString(), "-nowarn"));
+    arguments.addAll(List.of("-proc:none", "-cp", libraries()));
+    try (Stream<Path> files = Files.walk(folder.resolve(MAIN_SOURCES))) {
+      files.map(Path::toString).filter(name -> name.endsWith(".java")).forEach(arguments::add);
+    }
+    int result =
+        ToolProvider.getSystemJavaCompiler()
+            .run(null, null, null, arguments.toArray(new String[0]));
+    if (result != 0) {
+      throw new IOException("the older build does not compile");
+    }
+    return classes
+        + File.pathSeparator
+        + folder.resolve(MAIN_SOURCES).resolve("resources")
+        + File.pathSeparator
+        + libraries();
+  }
+
+  private static String commit() {
+    try {
+      Matcher matcher = COMMIT.matcher(Files.readString(SERVICE));
+      if (!matcher.find()) {
+        throw new IllegalStateException(SERVICE + " names no version in production");
+      }
+      return matcher.group(1);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** The class path without this build's own classes. */
+  private static String libraries() {
+    String[] entries = System.getProperty("java.class.path").split(File.pathSeparator);
+    return String.join(
+        File.pathSeparator,
+        Arrays.stream(entries).filter(entry -> entry.endsWith(".jar")).toList());
+  }
+
+  private static void run(String... command) throws Exception {
+    Process process = new ProcessBuilder(command).inheritIO().start();
+    if (!process.waitFor(PATIENCE_SECONDS, TimeUnit.SECONDS) || process.exitValue() != 0) {
+      throw new IOException(String.join(" ", command) + " failed");
+    }
+  }
+}
