Check gangs by the workers' histories and the users' answers alone

Change: GangChecker is told of arrivals, runs, exits, machines that stand still, ends and confirmed cancels, and finds a task in two places, a second zone, two attempts that run, a half that waits or runs on for longer than the times allow, a task done under two attempts, and a gang that runs on after its cancel.

Ruled out: bounding the loss of a machine that stands still by the time of noticing alone: the others have as long again to exit.

--- a/src/test/java/io/pearscale/sim/SimUser.java
+++ b/src/test/java/io/pearscale/sim/SimUser.java
@@ -145,6 +145,7 @@
     }
     if (s.equals("withdrawn") && cancelledAt == null) {
       cancelledAt = world.now;
+      world.gangChecker().cancelIsConfirmed(spec.id(), world.now);
     }
     if (!settled && (s.equals("done") || s.equals("withdrawn"))) {
       toldEnd = world.now;
--- a/src/test/java/io/pearscale/sim/SimWorker.java
+++ b/src/test/java/io/pearscale/sim/SimWorker.java
@@ -124,6 +124,7 @@
 
   void hang() {
     hung = true;
+    world.gangChecker().standsStill(name, world.now);
     tasks.forEach(
         (key, task) -> {
           if (task.stage.equals("running") && isGang(key)) {
@@ -150,6 +151,7 @@
     public void runs() {
       task.stage = "running";
       task.runsSince = world.now;
+      world.gangChecker().runs(key.task, world.now);
       reportSoon();
     }
 
@@ -159,6 +161,9 @@
           () -> {
             if (tasks.get(key) == task && !task.stage.equals("ended")) {
               task.saved = saved;
+              if (cause.equals("done")) {
+                world.gangChecker().completes(key.task, key.attempt);
+              }
               end(key, task, cause);
               cancelIfAllDone(key);
             }
@@ -195,6 +200,7 @@
 
   void resume() {
     hung = false;
+    world.gangChecker().goesOn(name, world.now);
     List<Runnable> late = List.copyOf(whileHung);
     whileHung.clear();
     late.forEach(Runnable::run);
--- a/src/test/java/io/pearscale/sim/World.java
+++ b/src/test/java/io/pearscale/sim/World.java
@@ -99,6 +99,16 @@
   /** What the workers' history shows of disruptions. */
   final DisruptionChecker disruptions = new DisruptionChecker(this);
 
+  private Optional<GangChecker> gangChecker = Optional.empty();
+
+  /** What the workers' history shows of gangs. */
+  GangChecker gangChecker() {
+    if (gangChecker.isEmpty()) {
+      gangChecker = Optional.of(new GangChecker(gangForming, gangPeerLoss, cancel, this::breaks));
+    }
+    return gangChecker.get();
+  }
+
   /** What operators have switched on. */
   Operations operations = Operations.off();
 
@@ -399,7 +409,9 @@
       breaks("started_cancelled", task + " on " + w.name);
     }
     starts.merge(task.job(), 1, Integer::sum);
-    if (!spec.gang()) {
+    if (spec.gang()) {
+      gangChecker().arrives(spec, task, attempt, w.name, w.zone, now);
+    } else {
       begun.putIfAbsent(task.job(), now);
     }
     present.add(new Presence(w, task, attempt));
@@ -417,11 +429,15 @@
 
   void taskGone(SimWorker w, TaskId task, long attempt) {
     present.removeIf(p -> p.worker == w && p.task.equals(task) && p.attempt == attempt);
+    if (submitted.get(task.job()).gang()) {
+      gangChecker().leaves(task, w.name, now);
+    }
     disruptions.gone(task);
   }
 
   /** What users check at the end of a day, beside the rules. */
   void endOfDay() {
+    gangChecker().check(now);
     Duration begin = Duration.ofMinutes(4);
     for (SimUser u : users.values()) {
       Instant expected = u.acceptedAt == null ? now : u.acceptedAt;
