--- a/src/test/java/io/pearscale/sim/FleetDay.java
+++ b/src/test/java/io/pearscale/sim/FleetDay.java
@@ -50,6 +50,22 @@
     return this;
   }
 
+  /** Gangs of 2 to 8 tasks in one zone, from a time on, each of which must be done at the end. */
+  FleetDay gangs(int count, double from, double apart) {
+    for (int i = 0; i < count; i++) {
+      add(
+          "at %.2f submit wk-g%d gang tasks=%d cpus=2 one-zone image=g%d run=%d checkpoint=5 save=1"
+              .formatted(
+                  from + i * apart,
+                  i,
+                  2 + random.nextInt(7),
+                  random.nextInt(IMAGES),
+                  8 + random.nextInt(12)));
+      expect("wk-g%d stage done".formatted(i));
+    }
+    return this;
+  }
+
   /** Arrays with long to go that are all cancelled within a second. */
   FleetDay cancelled(int count, double from, double cancelledAt) {
     for (int i = 0; i < count; i++) {
