--- a/deploy/operations.sexp
+++ b/deploy/operations.sexp
@@ -2,7 +2,8 @@
 ; Nothing here is on without this file.
 
 ; Each controller says in the state service what its build supports, for as long as its process runs and this
-; many seconds longer: `pearscale upgrade finalise` waits for the word of all of them.
+; many seconds longer. The level of stored forms rises by itself when all have said that they support a higher one;
+; with (automatic-level off) it waits for `pearscale upgrade finalise`.
 (announce-support-s 60)
 
 ; Drains, once the stored state is at level 1: a budget for each team that has none of its own. Further ones, and
