Take the search for victims, the score and the rooms of a pass out of Placer

No decision is changed; the order of random draws is the same.

Ruled out: keeping the search for victims beside the score: they share only the rooms.

--- a/src/main/java/io/pearscale/scheduler/Fleet.java
+++ b/src/main/java/io/pearscale/scheduler/Fleet.java
@@ -2,7 +2,6 @@
 
 import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Priority;
-import io.pearscale.protocol.Settings.Team;
 import io.pearscale.scheduler.Machine.Life;
 import io.pearscale.scheduler.Renter.Kind;
 import java.time.Duration;
@@ -35,7 +34,7 @@
    *
    * @param usable which machines may take tasks now
    * @param waiting jobs with tasks that wait, in the order in which they are decided
-   * @param uses what each team has in use
+   * @param use what each team has in use
    * @param silentZones zones of which nothing is heard: what is rented there is of no use by now
    * @param replacements room that drains lack
    * @param mayGiveBack whether it is known where all tasks are, and can be written what is decided
@@ -45,7 +44,7 @@
       Predicate<Machine> usable,
       Collection<Job> jobs,
       List<Job> waiting,
-      Map<String, Placer.Use> uses,
+      TeamUse use,
       Collection<MachineType> types,
       Set<String> silentZones,
       List<Renter.Demand> replacements,
@@ -55,15 +54,13 @@
   record Plan(Map<Kind, Integer> hires, List<Machine> giveBack, List<Placement> moves) {}
 
   private final Tuning tuning;
-  private final Map<String, Team> teams;
   private final JobClasses classes;
   private Renter renter;
   private Instant nextMove = Instant.MIN;
   private int moves;
 
-  Fleet(Tuning tuning, Map<String, Team> teams, JobClasses classes) {
+  Fleet(Tuning tuning, JobClasses classes) {
     this.tuning = tuning;
-    this.teams = teams;
     this.classes = classes;
     this.renter = new Renter(tuning);
   }
@@ -109,14 +106,13 @@
   private List<Renter.Demand> demands(View v, List<Machine> usable) {
     // Like tasks are asked for as one.
     Map<Like, Renter.Demand> demands = new LinkedHashMap<>();
-    Map<String, Placer.Use> uses = v.uses;
     for (Job j : v.waiting) {
       // What the team's limit keeps waiting would wait on rented machines as well.
-      int tasks = Math.min(j.pending(), Placer.leftWithinLimit(teams, uses, j.spec));
+      int tasks = Math.min(j.pending(), v.use.leftWithinLimit(j.spec));
       if (tasks == 0 || (j.spec.gang() && tasks < j.pending())) {
         continue;
       }
-      Placer.charge(uses, j.spec, tasks);
+      v.use.charge(j.spec, tasks);
       if (j.spec.gang() && j.spec.oneZone()) {
         demandInOneZone(demands, j, tasks, usable);
       } else if (j.spec.spread()) {
@@ -153,12 +149,12 @@
     }
   }
 
-  private record Like(Placer.Shape shape, Optional<String> zone) {}
+  private record Like(TaskShape shape, Optional<String> zone) {}
 
   private static void demand(
       Map<Like, Renter.Demand> demands, Job j, int tasks, Optional<String> zone) {
     demands.merge(
-        new Like(Placer.Shape.of(j.spec), zone),
+        new Like(TaskShape.of(j.spec), zone),
         new Renter.Demand(j, tasks, zone),
         (a, b) -> new Renter.Demand(a.job(), a.tasks() + b.tasks(), zone));
   }
--- a/src/main/java/io/pearscale/scheduler/LeaderComponents.java
+++ b/src/main/java/io/pearscale/scheduler/LeaderComponents.java
@@ -66,11 +66,11 @@
     MachineRetirement retirement = new MachineRetirement(shared, cloud);
     health = new MachineHealth(shared, times, dispatcher, retirement);
     recovery = new LeaderRecovery(shared, dispatcher, listener::unfit);
-    var policy = new PlacementPass.Policy(env.tuning(), env.random(), teams, classes, order);
+    var policy = new PlacementPass.Policy(env.tuning(), env.random(), classes, order);
     passes =
         new PlacementPass(shared, times, policy, executor, health, dispatcher, stops, statistics);
     drains = drains(env, shared, times, retirement);
-    Fleet fleet = new Fleet(env.tuning(), teams, classes);
+    Fleet fleet = new Fleet(env.tuning(), classes);
     supply =
         new MachineSupply(
             shared,
--- a/src/main/java/io/pearscale/scheduler/MachineInventory.java
+++ b/src/main/java/io/pearscale/scheduler/MachineInventory.java
@@ -6,7 +6,6 @@
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -196,17 +195,17 @@
   }
 
   /** What each team has in use, counting all that may be on a machine. */
-  Map<String, Placer.Use> uses() {
-    Map<String, Placer.Use> uses = new HashMap<>();
+  TeamUse use() {
+    TeamUse use = new TeamUse(teams);
     if (teams.values().stream().noneMatch(Team::bounded)) {
-      return uses;
+      return use;
     }
     for (Machine machine : machines.values()) {
       for (Placement placement : machine.placements.values()) {
-        Placer.charge(uses, placement.job.spec, 1);
+        use.charge(placement.job.spec, 1);
       }
     }
-    return uses;
+    return use;
   }
 
   // ---- Commands that wait ----
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/MachineOrder.java
@@ -0,0 +1,50 @@
+package io.pearscale.scheduler;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * Machines in an order that is shuffled once a pass; each visit begins at a random place of its
+ * own. Machines that can be spared are met last, so that they run empty.
+ */
+final class MachineOrder {
+  private final RandomGenerator random;
+  private final List<Machine> kept = new ArrayList<>();
+  private final List<Machine> spare = new ArrayList<>();
+
+  MachineOrder(Collection<Machine> machines, RandomGenerator random) {
+    this.random = random;
+    for (Machine machine : machines) {
+      boolean stays = machine.spareSince.equals(Instant.MAX) && !machine.drainsLater;
+      (stays ? kept : spare).add(machine);
+    }
+    shuffle(kept);
+    shuffle(spare);
+  }
+
+  private void shuffle(List<Machine> list) {
+    for (int i = list.size() - 1; i > 0; i--) {
+      Collections.swap(list, i, random.nextInt(i + 1));
+    }
+  }
+
+  int size() {
+    return kept.size() + spare.size();
+  }
+
+  /** A place for a visit to begin at. */
+  int start() {
+    return kept.isEmpty() ? 0 : random.nextInt(kept.size());
+  }
+
+  /** The machine that a visit which began there meets as the one of that index. */
+  Machine get(int start, int index) {
+    return index < kept.size()
+        ? kept.get((start + index) % kept.size())
+        : spare.get(index - kept.size());
+  }
+}
--- a/src/main/java/io/pearscale/scheduler/MachineSupply.java
+++ b/src/main/java/io/pearscale/scheduler/MachineSupply.java
@@ -114,7 +114,7 @@
                 m -> health.usable(m, now),
                 jobs.all(),
                 order.waiting(jobs.waiting(), order.turns(now), now),
-                inventory.uses(),
+                inventory.use(),
                 inventory.catalogue().types(),
                 health.silentZones(now),
                 drains.map(DrainCoordinator::replacements).orElse(List.of()),
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/PassRooms.java
@@ -0,0 +1,50 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.scheduler.Machine.Room;
+import io.pearscale.scheduler.Placer.Choice;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** The room of machines, and what teams have in use, after all that was booked in a pass. */
+final class PassRooms {
+  private final TeamUse use;
+  private final Map<Machine, Room> rooms = new HashMap<>();
+  private final Set<Placement> victims = new HashSet<>();
+
+  PassRooms(TeamUse use) {
+    this.use = use;
+  }
+
+  Room of(Machine machine) {
+    return rooms.computeIfAbsent(machine, Machine::room);
+  }
+
+  TeamUse use() {
+    return use;
+  }
+
+  /** Whether the pass has chosen the task to leave. */
+  boolean isVictim(Placement placement) {
+    return victims.contains(placement);
+  }
+
+  /** Books a task's room, after that of its victims has become free. */
+  void book(Job job, Choice choice) {
+    Room room = of(choice.machine());
+    choice.victims().forEach(victim -> room.give(victim.job));
+    victims.addAll(choice.victims());
+    room.take(job);
+    use.charge(job.spec, 1);
+  }
+
+  /** Takes back what was booked for a task. */
+  void release(Job job, Choice choice) {
+    Room room = of(choice.machine());
+    choice.victims().forEach(victim -> room.take(victim.job));
+    victims.removeAll(choice.victims());
+    room.give(job);
+    use.charge(job.spec, -1);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/PlacementInput.java
@@ -0,0 +1,27 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.protocol.JobSpec;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+
+/**
+ * What a pass decides by.
+ *
+ * @param machines those that may take tasks now
+ * @param startWithin in which time tasks like these are expected to start, if any
+ * @param turns the order of jobs of one priority: the last is the first to make room
+ * @param heardSince machines heard since then are sure to be reached
+ */
+record PlacementInput(
+    Tuning tuning,
+    RandomGenerator random,
+    List<Machine> machines,
+    Function<JobSpec, Optional<Duration>> startWithin,
+    Comparator<Job> turns,
+    Instant heardSince,
+    Instant now) {}
--- a/src/main/java/io/pearscale/scheduler/PlacementPass.java
+++ b/src/main/java/io/pearscale/scheduler/PlacementPass.java
@@ -1,7 +1,6 @@
 package io.pearscale.scheduler;
 
 import io.pearscale.gang.GangAttempt.Action;
-import io.pearscale.protocol.Settings.Team;
 import io.pearscale.protocol.TaskId;
 import io.pearscale.scheduler.Placement.Stage;
 import java.time.Duration;
@@ -11,7 +10,6 @@
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
@@ -24,17 +22,8 @@
   private static final Logger LOG = LoggerFactory.getLogger(PlacementPass.class);
   private static final Pacing PACING = new Pacing(4, Duration.ofMillis(30), Duration.ofSeconds(2));
 
-  /**
-   * By what a pass decides.
-   *
-   * @param teams guarantees and limits, by team
-   */
-  record Policy(
-      Tuning tuning,
-      RandomGenerator random,
-      Map<String, Team> teams,
-      JobClasses classes,
-      JobOrder order) {}
+  /** By what a pass decides. */
+  record Policy(Tuning tuning, RandomGenerator random, JobClasses classes, JobOrder order) {}
 
   private final Leadership leadership;
   private final JobTable jobs;
@@ -124,17 +113,16 @@
 
   private Placer placer(
       List<Job> waiting, List<Machine> usable, Function<Job, JobOrder.Turn> turns, Instant now) {
-    return new Placer(
-        policy.tuning,
-        policy.random,
-        policy.teams,
-        usable,
-        waiting,
-        inventory.uses(),
-        policy.classes::startWithin,
-        Comparator.comparing(turns),
-        now.minus(times.recent()),
-        now);
+    PlacementInput input =
+        new PlacementInput(
+            policy.tuning,
+            policy.random,
+            usable,
+            policy.classes::startWithin,
+            Comparator.comparing(turns),
+            now.minus(times.recent()),
+            now);
+    return new Placer(input, waiting, inventory.use());
   }
 
   private List<Machine> usable(Instant now) {
--- /dev/null
+++ b/src/main/java/io/pearscale/scheduler/PlacementScore.java
@@ -0,0 +1,97 @@
+package io.pearscale.scheduler;
+
+import io.pearscale.protocol.Fields;
+import io.pearscale.protocol.JobSpec;
+import io.pearscale.scheduler.Machine.Room;
+import java.util.Map;
+
+/** The score of a machine for a task of a job; the lowest is the best. */
+final class PlacementScore {
+  private static final double SHORTEST_TIME = 1e-3;
+
+  private final PlacementInput input;
+  private final Tuning tuning;
+  private final PassRooms rooms;
+
+  PlacementScore(PlacementInput input, PassRooms rooms) {
+    this.input = input;
+    this.tuning = input.tuning();
+    this.rooms = rooms;
+  }
+
+  /**
+   * Scores a machine that has room for the task.
+   *
+   * @param crowding how little room each zone has for such tasks
+   */
+  double of(Job job, Machine machine, Map<String, Double> crowding) {
+    JobSpec spec = job.spec;
+    return tuning.strandedWeight() * stranded(job, machine)
+        + mates(job, machine) / Math.max(1, spec.tasks())
+        + tuning.sameZoneWeight() * job.inZone(machine.zone) / Math.max(1, spec.tasks())
+        + tuning.zoneBalanceWeight() * crowding.getOrDefault(machine.zone, 1.0)
+        + tuning.imageWeight() * fetchShare(job, machine) * fetchesInTheWay(spec.image(), machine)
+        + (spec.spot() && !machine.spot ? tuning.ordinaryWeight() : 0)
+        // A machine that just missed a direct command gets its starts by report only, which is
+        // slow.
+        + (input.now().isBefore(machine.directAfter) ? tuning.imageWeight() : 0);
+  }
+
+  /**
+   * Waiting tasks of a batch job are alike and would all go where the first one goes: what counts
+   * is the room that is left after them.
+   */
+  private int coming(Job job, Machine machine) {
+    return job.spec.service()
+        ? 1
+        : Math.max(1, Math.min(rooms.of(machine).count(job), job.pending()));
+  }
+
+  private double stranded(Job job, Machine machine) {
+    Room room = rooms.of(machine);
+    JobSpec spec = job.spec;
+    int coming = coming(job, machine);
+    double stranded = (room.cpus - coming * spec.cpus()) / Math.max(1e-9, machine.type.cpus());
+    stranded +=
+        (room.memoryGb - coming * spec.memoryGb()) / Math.max(1e-9, machine.type.memoryGb());
+    if (machine.type.gpus() > 0) {
+      stranded += (room.gpus - coming * spec.gpus()) / machine.type.gpus();
+    }
+    return stranded;
+  }
+
+  /**
+   * A service serves on when one machine is lost, so it spreads. A batch job is over with its last
+   * task: the fewer machines it is on, the fewer jobs the loss of one makes late.
+   */
+  private double mates(Job job, Machine machine) {
+    int onMachine = 0;
+    for (Placement placement : machine.placements.values()) {
+      if (placement.job == job) {
+        onMachine++;
+      }
+    }
+    return job.spec.service()
+        ? tuning.sameMachineWeight() * onMachine
+        : -tuning.togetherWeight() * (onMachine + coming(job, machine));
+  }
+
+  /**
+   * How much of a task's time a fetch of its image would take: little for a long run, most of it
+   * for a start that is expected at once. So a cached image doesn't break up whole machines in
+   * vain.
+   */
+  private double fetchShare(Job job, Machine machine) {
+    double fetch = Fields.seconds(machine.type.fetchTime(job.spec.imageGb()));
+    double run = job.spec.service() ? 1 : Fields.seconds(job.spec.estimate());
+    if (job.spec.gang()) {
+      run = input.startWithin().apply(job.spec).map(Fields::seconds).orElse(run);
+    }
+    return fetch / Math.max(SHORTEST_TIME, fetch + run);
+  }
+
+  /** How many fetches would share the rate with the image's own; -1 if that is cached. */
+  private static int fetchesInTheWay(String image, Machine machine) {
+    return machine.images.containsKey(image) ? -1 : machine.otherFetches(image);
+  }
+}
--- a/src/main/java/io/pearscale/scheduler/SpareRoom.java
+++ b/src/main/java/io/pearscale/scheduler/SpareRoom.java
@@ -52,7 +52,7 @@
   }
 
   private static boolean settled(Placement p, Instant now) {
-    return p.stage == Placement.Stage.RUNNING && !p.since.isAfter(now.minus(Placer.SETTLED));
+    return p.stage == Placement.Stage.RUNNING && !p.since.isAfter(now.minus(ReplicaMoves.SETTLED));
   }
 
   private boolean takes(Placement p) {
@@ -61,7 +61,8 @@
         return false;
       }
       looksLeft--;
-      if (Placer.mayMoveTo(p, other) && rooms.computeIfAbsent(other, Machine::room).fits(p.job)) {
+      if (ReplicaMoves.mayMoveTo(p, other)
+          && rooms.computeIfAbsent(other, Machine::room).fits(p.job)) {
         rooms.get(other).take(p.job);
         return true;
       }
