Keep room that comes free for gangs that are expected to start soon

Change: a gang with a time to start is due when it would be over if it started in time, and keeps the room that it finds, all such gangs together a twentieth of the fleet's places. A gang that the machines could not take if they were empty keeps nothing.

--- a/src/main/java/io/pearscale/scheduler/GangPlacement.java
+++ b/src/main/java/io/pearscale/scheduler/GangPlacement.java
@@ -40,12 +40,20 @@
     }
   }
 
+  /** Gangs that have just come keep no more than this part of the fleet's places free. */
+  private static final double MOST_KEPT = 0.05;
+
   private final Placer placer;
   private final Set<String> zones = new TreeSet<>();
 
+  private final Collection<Machine> machines;
+
   /** A gang for which room was kept in this pass, since it has waited for long. */
   private Optional<Job> held = Optional.empty();
 
+  /** What part of the fleet's places was kept in this pass for gangs that have just come. */
+  private double keptShare;
+
   /**
    * Places gangs in a pass.
    *
@@ -53,6 +61,7 @@
    */
   GangPlacement(Placer placer, Collection<Machine> machines) {
     this.placer = placer;
+    this.machines = machines;
     machines.forEach(machine -> zones.add(machine.zone));
   }
 
@@ -119,13 +128,44 @@
   /**
    * Keeps what free room there is for a gang that has waited for long, so that jobs that come after
    * it in this pass don't take it away. Only one gang at a time: two would each hold half of what
-   * both need.
+   * both need. One that the machines could not take if they were empty gets nothing: it waits for
+   * other machines.
    */
   void hold(Job job, int tasks) {
-    if (held.isPresent()) {
-      return;
+    if (held.isEmpty() && shareOf(job, tasks) <= 1) {
+      held = Optional.of(job);
+      keep(job, tasks);
+    }
+  }
+
+  /**
+   * The same for a gang that is expected to start soon, as long as all of them together would take
+   * a small part of the fleet: its room comes free within a moment, and costs others no more.
+   */
+  void holdIfSmall(Job job, int tasks) {
+    double share = shareOf(job, tasks);
+    if (keptShare + share <= MOST_KEPT) {
+      keptShare += share;
+      keep(job, tasks);
     }
-    held = Optional.of(job);
+  }
+
+  /** What part of the places for such tasks the gang needs, in the largest part of the fleet. */
+  private double shareOf(Job job, int tasks) {
+    long most = 0;
+    for (Predicate<Machine> among : parts(job)) {
+      long places =
+          machines.stream()
+              .filter(among)
+              .filter(machine -> job.spec.allows(machine.type, machine.zone, machine.spot))
+              .mapToLong(machine -> Machine.Room.of(machine.type).count(job))
+              .sum();
+      most = Math.max(most, places);
+    }
+    return most == 0 ? Double.MAX_VALUE : tasks / (double) most;
+  }
+
+  private void keep(Job job, int tasks) {
     List<Choice> most = List.of();
     for (Predicate<Machine> among : parts(job)) {
       List<Choice> choices = choose(job, tasks, /* mayStopOthers= */ false, among);
--- a/src/main/java/io/pearscale/scheduler/JobOrder.java
+++ b/src/main/java/io/pearscale/scheduler/JobOrder.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 
 /**
@@ -20,6 +21,9 @@
   /** An image may have to be fetched before a task runs. */
   private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(6);
 
+  /** A job of which nothing is expected comes after those that are due within this time. */
+  private static final Duration NO_HURRY = Duration.ofHours(1);
+
   private final List<Objective> objectives;
   private final JobClasses classes;
 
@@ -33,12 +37,20 @@
     if (j.spec.deadline().isPresent()) {
       return j.submitted.plus(j.spec.deadline().get());
     }
-    for (Objective o : objectives) {
-      if (o.kind().equals("finished") && o.jobClass().equals(j.spec.jobClass())) {
-        return j.submitted.plus(o.within());
-      }
+    Duration within = finishedWithin(j).orElse(NO_HURRY);
+    if (j.spec.gang()) {
+      // It can't begin in part, so a time to start says when it would be over.
+      Duration ifStarted = classes.startWithin(j.spec).map(j.spec.estimate()::plus).orElse(within);
+      within = ifStarted.compareTo(within) < 0 ? ifStarted : within;
     }
-    return j.submitted.plus(Duration.ofHours(1));
+    return j.submitted.plus(within);
+  }
+
+  private Optional<Duration> finishedWithin(Job j) {
+    return objectives.stream()
+        .filter(o -> o.kind().equals("finished") && o.jobClass().equals(j.spec.jobClass()))
+        .map(Objective::within)
+        .findFirst();
   }
 
   /**
--- a/src/main/java/io/pearscale/scheduler/Machine.java
+++ b/src/main/java/io/pearscale/scheduler/Machine.java
@@ -308,6 +308,11 @@
       this.memoryGb = memoryGb;
     }
 
+    /** All that a machine of the type has. */
+    static Room of(MachineType type) {
+      return new Room(type.cpus(), type.gpus(), type.memoryGb());
+    }
+
     Room copy() {
       return new Room(cpus, gpus, memoryGb);
     }
--- a/src/main/java/io/pearscale/scheduler/PlacementPass.java
+++ b/src/main/java/io/pearscale/scheduler/PlacementPass.java
@@ -164,6 +164,8 @@
     if (choices.isEmpty()) {
       if (JobOrder.begins(job, now)) {
         placement.hold(job, tasks);
+      } else if (policy.classes.startWithin(job.spec).isPresent()) {
+        placement.holdIfSmall(job, tasks);
       }
       return;
     }
