Log how long each phase of a gang lasted, and count the work that ends lose

Cause: how long members wait for each other, which is paid for and useless, and what restarts cost could not be told from the log.

Change: event=gang names the phase before and how long it lasted; figures have gang_work_lost_s, task seconds since the last checkpoint of gangs that had to end without saving, as far as the leader of the term saw them run.

Ruled out: asking workers: they report no progress.

--- a/src/main/java/io/pearscale/scheduler/Gangs.java
+++ b/src/main/java/io/pearscale/scheduler/Gangs.java
@@ -7,6 +7,7 @@
 import io.pearscale.gang.MemberStage;
 import io.pearscale.scheduler.Placement.Stage;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -29,6 +30,8 @@
   private final InstantSource clock;
   private final Duration forming;
   private final Map<Job, GangAttempt> attempts = new HashMap<>();
+  private final Map<Job, Instant> phaseSince = new HashMap<>();
+  private Duration lost = Duration.ZERO;
 
   /**
    * Knows of no gangs.
@@ -44,14 +47,18 @@
   /** Forgets all gangs. */
   void clear() {
     attempts.clear();
+    phaseSince.clear();
+    lost = Duration.ZERO;
   }
 
   /** The job is over. */
   void forget(Job job) {
     attempts.remove(job);
+    phaseSince.remove(job);
   }
 
   private GangAttempt attemptOf(Job job) {
+    phaseSince.putIfAbsent(job, clock.instant());
     return attempts.computeIfAbsent(job, j -> new GangAttempt(j.spec.tasks(), forming));
   }
 
@@ -103,19 +110,41 @@
     GangAttempt attempt = attemptOf(job);
     Phase before = attempt.phase();
     Action action = attempt.next(membersOf(job), clock.instant());
-    if (before != attempt.phase()) {
-      LOG.info(
-          "event=gang term={} job={} phase={} attempt={} tasks={} ended={}",
-          leadership.term(),
-          job.spec.id(),
-          attempt.phase(),
-          attempt.number().orElse(-1L),
-          job.placed.size(),
-          attempt.ended());
-    }
+    noteChange(job, before, /* saved= */ false);
     return action;
   }
 
+  /** Logs a change of phase, and counts the work that is lost if a gang that ran has to end. */
+  private void noteChange(Job job, Phase before, boolean saved) {
+    GangAttempt attempt = attemptOf(job);
+    Phase phase = attempt.phase();
+    if (before == phase) {
+      return;
+    }
+    Instant now = clock.instant();
+    Duration lasted = Duration.between(phaseSince.put(job, now), now);
+    if (before == Phase.RUNNING && phase == Phase.ENDING && job.done.isEmpty() && !saved) {
+      lost = lost.plus(lostWork(job, lasted));
+    }
+    LOG.info(
+        "event=gang term={} job={} phase={} attempt={} tasks={} ended={} before={} lasted_ms={}",
+        leadership.term(),
+        job.spec.id(),
+        phase,
+        attempt.number().orElse(-1L),
+        job.placed.size(),
+        attempt.ended(),
+        before,
+        lasted.toMillis());
+  }
+
+  /** The work since the last checkpoint, of all tasks, as far as this leader saw them run. */
+  private static Duration lostWork(Job job, Duration ran) {
+    long step = job.spec.checkpoint().toMillis();
+    long sinceCheckpoint = step == 0 ? ran.toMillis() : ran.toMillis() % step;
+    return Duration.ofMillis(sinceCheckpoint * job.spec.tasks());
+  }
+
   private static Collection<Member> membersOf(Job job) {
     List<Member> members = new ArrayList<>(job.placed.size());
     for (Placement placement : job.placed.values()) {
@@ -137,7 +166,9 @@
 
   /** An attempt is started under that number. */
   void begin(Job job, long number) {
+    Phase before = phase(job);
     attemptOf(job).begin(number, clock.instant());
+    noteChange(job, before, /* saved= */ false);
   }
 
   /** The number under which missing tasks of the present attempt are started. */
@@ -145,9 +176,15 @@
     return attemptOf(job).number().orElseThrow();
   }
 
-  /** All tasks of the gang are told to stop. */
-  void noteEnding(Job job) {
+  /**
+   * All tasks of the gang are told to stop.
+   *
+   * @param saves whether they are given the time to save
+   */
+  void noteEnding(Job job, boolean saves) {
+    Phase before = phase(job);
     attemptOf(job).noteEnding();
+    noteChange(job, before, saves);
   }
 
   /** A task of that attempt has exited since others are missing or gone. */
@@ -169,7 +206,8 @@
   }
 
   /**
-   * How many gangs are in each phase, and how many attempts have ended, as fields of a log line.
+   * How many gangs are in each phase, how many attempts have ended, and the work that was lost, as
+   * fields of a log line.
    */
   String counts() {
     int[] phases = new int[Phase.values().length];
@@ -178,12 +216,14 @@
       phases[attempt.phase().ordinal()]++;
       ended += attempt.ended();
     }
-    return "gangs_forming=%d gangs_running=%d gangs_ending=%d gangs_unknown=%d attempts_ended=%d"
+    return ("gangs_forming=%d gangs_running=%d gangs_ending=%d gangs_unknown=%d attempts_ended=%d"
+            + " gang_work_lost_s=%d")
         .formatted(
             phases[Phase.FORMING.ordinal()],
             phases[Phase.RUNNING.ordinal()],
             phases[Phase.ENDING.ordinal()],
             phases[Phase.UNKNOWN.ordinal()],
-            ended);
+            ended,
+            lost.toSeconds());
   }
 }
--- a/src/main/java/io/pearscale/scheduler/TaskStops.java
+++ b/src/main/java/io/pearscale/scheduler/TaskStops.java
@@ -76,7 +76,7 @@
         !atOnce
             && !job.spec.checkpoint().isZero()
             && OrderlyStop.saves(members, job.spec.tasks(), left, job.spec.save());
-    gangs.noteEnding(job);
+    gangs.noteEnding(job, saves);
     for (Placement placement : List.copyOf(job.placed.values())) {
       placement.stopsAtOnce |= !saves;
       inventory.stop(placement);
