Take over a gang as done when one part of its marks says so

Cause: a gang's tasks complete together, but its marks can stand in several values, and one of them may be written, for another job's sake, before the job's end is. A leader that ended in between left a gang done in part: its successor waited for the machines of the other part, and started those tasks again under an attempt that is never complete when they were lost.

Ruled out: writing all parts of a gang in one transaction: a large gang over many parts does not fit into the smaller limits.

--- a/src/main/java/io/pearscale/scheduler/RecordAdoption.java
+++ b/src/main/java/io/pearscale/scheduler/RecordAdoption.java
@@ -132,6 +132,10 @@
         .filter(task -> task < job.spec.tasks())
         .forEach(job.done::set);
     job.noteDurable(first, part.done());
+    if (job.spec.gang() && !job.done.isEmpty()) {
+      // Its tasks complete together, also those of parts that were not written again.
+      job.done.set(0, job.spec.tasks());
+    }
     records.adoptPart(job, stored);
     for (int i = 0; i < part.hosts().length && first + i < job.spec.tasks(); i++) {
       Machine machine = numbered.get(stored.layout()).get(part.hosts()[i]);
