Count only attempts of gangs that ended without completing

Change: nothing is decided for a gang of which a task is done.

Ruled out: counting in the reports: the attempt is what knows its phase.

--- a/src/main/java/io/pearscale/scheduler/Gangs.java
+++ b/src/main/java/io/pearscale/scheduler/Gangs.java
@@ -107,6 +107,9 @@
 
   /** What is to be done for the gang now. */
   Action next(Job job) {
+    if (!job.done.isEmpty()) {
+      return Action.NONE; // One task that is done makes all done: what is left exits by itself.
+    }
     GangAttempt attempt = attemptOf(job);
     Phase before = attempt.phase();
     Action action = attempt.next(membersOf(job), clock.instant());
