--- a/src/test/java/io/pearscale/sim/OlderBuild.java
+++ b/src/test/java/io/pearscale/sim/OlderBuild.java
@@ -27,8 +27,8 @@
   private OlderBuild() {}
 
   /** Whether there is a history to build from: a copy of the sources alone has none. */
-  static boolean hasHistory() {
-    return Files.exists(Path.of(".git"));
+  static boolean hasHistory() throws Exception {
+    return exitValue("git", "cat-file", "-e", commit() + "^{commit}") == 0;
   }
 
   /**
@@ -81,9 +81,16 @@
   }
 
   private static void run(String... command) throws Exception {
-    Process process = new ProcessBuilder(command).inheritIO().start();
-    if (!process.waitFor(PATIENCE_SECONDS, TimeUnit.SECONDS) || process.exitValue() != 0) {
+    if (exitValue(command) != 0) {
       throw new IOException(String.join(" ", command) + " failed");
     }
   }
+
+  private static int exitValue(String... command) throws Exception {
+    Process process = new ProcessBuilder(command).inheritIO().start();
+    if (!process.waitFor(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
+      throw new IOException(String.join(" ", command) + " hangs");
+    }
+    return process.exitValue();
+  }
 }
