--- a/src/test/java/io/pearscale/sim/GangRunsTest.java
+++ b/src/test/java/io/pearscale/sim/GangRunsTest.java
@@ -114,6 +114,51 @@
                     .formatted(number, trouble));
   }
 
+  /**
+   * The leader meets each trouble at each transaction from the last restart of a rollout on, over
+   * the rise of the level, the copies and the first gangs; then an old build comes back for a
+   * while.
+   */
+  @TestFactory
+  Stream<DynamicTest> theLeaderMeetsATroubleAtEachStepOfARollout() {
+    return Steps.each(
+        TRANSACTIONS,
+        (trouble, number) ->
+            SMALL
+                + """
+                build hive-0 0 1
+                build hive-1 0 1
+                build hive-2 0 1
+                at 12 build hive-0 0 2
+                at 12 crash hive-0
+                at 15 start hive-0
+                at 18 build hive-1 0 2
+                at 18 crash hive-1
+                at 21 start hive-1
+                at 24 build hive-2 0 2
+                at 24 crash hive-2
+                at 26.5 at-commit %d %s
+                at 27 start hive-2
+                at 28 submit wk-1 gang tasks=5 cpus=2 one-zone run=40 checkpoint=5 save=1
+                at 30 submit wk-2 gang tasks=4 cpus=2 run=10
+                at 31 submit wk-3 batch tasks=30 cpus=1 run=10
+                at 52 build hive-0 0 1
+                at 52 crash hive-0
+                at 55 start hive-0
+                at 80 build hive-0 0 2
+                at 80 crash hive-0
+                at 83 start hive-0
+                until 220
+                expect level 2
+                expect wk-0 present 4
+                expect wk-1 stage done
+                expect wk-2 stage done
+                expect wk-3 stage done
+                expect wk-9 stage done
+                """
+                    .formatted(number, trouble));
+  }
+
   /** The same with a second trouble on top: a machine of the gang can't be reached meanwhile. */
   @TestFactory
   Stream<DynamicTest> theLeaderMeetsATroubleWhileAMachineIsCutOff() {
