Take back the second way of forgetting cancelled gangs

The actor tells the attempts of each job that is over, cancelled or not, as it takes the job out of the table (jobOver); reading the writer alone, that was missed.

FormerRecords.size, which nothing called, is gone as well.

Ruled out: keeping both: the second could only hide a call that is missing.

--- a/src/main/java/io/pearscale/scheduler/FormerRecords.java
+++ b/src/main/java/io/pearscale/scheduler/FormerRecords.java
@@ -54,11 +54,6 @@
     return waiting.isEmpty();
   }
 
-  /** How many values are left. */
-  int size() {
-    return waiting.size();
-  }
-
   /** Hands out what has yet to be copied, value by value, until the taker has enough. */
   void offer(Taker taker) {
     for (Set<Object> items : waiting.values()) {
--- a/src/main/java/io/pearscale/scheduler/Gangs.java
+++ b/src/main/java/io/pearscale/scheduler/Gangs.java
@@ -57,12 +57,6 @@
     phaseSince.remove(job);
   }
 
-  /** Forgets gangs whose jobs are over, cancelled ones with them. */
-  void forgetAllBut(Predicate<Job> isLive) {
-    attempts.keySet().removeIf(isLive.negate());
-    phaseSince.keySet().removeIf(isLive.negate());
-  }
-
   private GangAttempt attemptOf(Job job) {
     phaseSince.putIfAbsent(job, clock.instant());
     return attempts.computeIfAbsent(job, j -> new GangAttempt(j.spec.tasks(), forming));
--- a/src/main/java/io/pearscale/scheduler/TaskStops.java
+++ b/src/main/java/io/pearscale/scheduler/TaskStops.java
@@ -55,7 +55,6 @@
 
   /** Ends attempts that lost a task after they had begun, or that can't be completed in time. */
   void endBrokenGangs() {
-    gangs.forgetAllBut(jobs::contains);
     for (Job job : jobs.gangs()) {
       if (gangs.next(job) == Action.END) {
         stopGang(job, /* atOnce= */ true);
