--- a/src/main/java/io/pearscale/cli/DrainCommand.java
+++ b/src/main/java/io/pearscale/cli/DrainCommand.java
@@ -192,8 +192,7 @@
         StateSession state, MachineSelector selector, List<String> machines, Set<String> drained)
         throws IOException, SettingsError, Malformed {
       Optional<Stored> level = state.read(Keys.LEVEL);
-      ClusterLevel inForce =
-          level.isEmpty() ? ClusterLevel.UNVERSIONED : ClusterLevel.parse(level.get().value());
+      ClusterLevel inForce = ClusterLevel.ofStored(level.map(Stored::value));
       if (!Feature.MACHINE_MAINTENANCE.isOn(inForce)) {
         return refuse("level 1 of the stored state is needed: pearscale upgrade finalise");
       }
--- a/src/main/java/io/pearscale/cli/StoredRoster.java
+++ b/src/main/java/io/pearscale/cli/StoredRoster.java
@@ -35,8 +35,7 @@
   /** Both layouts, first the one that is written. */
   static List<RecordLayout> layouts(StateSession state) throws IOException, Malformed {
     Optional<Stored> level = state.read(Keys.LEVEL);
-    ClusterLevel inForce =
-        level.isEmpty() ? ClusterLevel.UNVERSIONED : ClusterLevel.parse(level.get().value());
+    ClusterLevel inForce = ClusterLevel.ofStored(level.map(Stored::value));
     RecordLayout written = RecordLayout.ofLevel(inForce.written());
     List<RecordLayout> layouts = new ArrayList<>();
     layouts.add(written);
--- a/src/main/java/io/pearscale/cli/UpgradeView.java
+++ b/src/main/java/io/pearscale/cli/UpgradeView.java
@@ -84,8 +84,7 @@
 
   private static Optional<ClusterLevel> parse(Optional<Stored> level) {
     try {
-      return Optional.of(
-          level.isEmpty() ? ClusterLevel.UNVERSIONED : ClusterLevel.parse(level.get().value()));
+      return Optional.of(ClusterLevel.ofStored(level.map(Stored::value)));
     } catch (Malformed e) {
       return Optional.empty();
     }
@@ -111,9 +110,7 @@
     for (Map.Entry<String, Stored> record : records.entrySet()) {
       String key = record.getKey();
       boolean inPlace =
-          key.startsWith(layout.marksPrefix())
-              || (key.startsWith(layout.rosterPrefix())
-                  && hasFormOf(record.getValue().value(), written));
+          layout.has(key) && (Keys.isMarks(key) || hasFormOf(record.getValue().value(), written));
       pending += inPlace ? 0 : 1;
     }
     return pending;
--- a/src/main/java/io/pearscale/upgrade/ClusterLevel.java
+++ b/src/main/java/io/pearscale/upgrade/ClusterLevel.java
@@ -5,6 +5,7 @@
 import io.pearscale.protocol.Fields;
 import io.pearscale.protocol.Malformed;
 import io.pearscale.transport.MessagePack;
+import java.util.Optional;
 
 /**
  * The level of stored state that is in force in a cluster, as the state service holds it.
@@ -29,6 +30,11 @@
     this(level, written, migrated, /* held= */ false);
   }
 
+  /** The level that is in force, given what is stored, if anything is. */
+  public static ClusterLevel ofStored(Optional<JsonNode> value) throws Malformed {
+    return value.isEmpty() ? UNVERSIONED : parse(value.get());
+  }
+
   /** Reads the record; fields that a later release may add are passed over. */
   public static ClusterLevel parse(JsonNode value) throws Malformed {
     JsonNode map = Fields.map(value);
--- a/src/main/java/io/pearscale/upgrade/LevelGate.java
+++ b/src/main/java/io/pearscale/upgrade/LevelGate.java
@@ -84,7 +84,7 @@
 
   private Optional<String> judge(Optional<JsonNode> value) {
     try {
-      inForce = value.isEmpty() ? ClusterLevel.UNVERSIONED : ClusterLevel.parse(value.get());
+      inForce = ClusterLevel.ofStored(value);
       return objectionTo(inForce);
     } catch (Malformed e) {
       return Optional.of("the level of the stored state can't be read: " + e.getMessage());
