--- a/src/main/java/io/pearscale/cli/WarmUp.java
+++ b/src/main/java/io/pearscale/cli/WarmUp.java
@@ -56,6 +56,8 @@
       report_s = 3.0
       lease_s = 20.0
       cancel_s = 40.0
+      gang_wait_s = 40.0
+      gang_peer_s = 6.0
       [facts.state]
       rps = 100.0
       write_rps = 50.0
@@ -102,6 +104,7 @@
         String self = "127.0.0.1:" + port;
         ask(loop, calls, self, "GET", "/up", MessagePack.MISSING);
         ask(loop, calls, self, "POST", "/work", job());
+        ask(loop, calls, self, "POST", "/work", gang());
         ask(loop, calls, self, "GET", "/work/wk-000001", MessagePack.MISSING);
         ask(loop, calls, self, "POST", "/checkin", services.report(stubAddress));
         ask(loop, calls, self, "POST", "/checkin", MessagePack.map());
@@ -137,7 +140,9 @@
       Files.writeString(file, SETTINGS.formatted(host, client, back, peer, peerBack, stub, stub));
       Server server =
           new Server(
-              SettingsReader.read(file), TuningReader.read(Optional.empty()), Operations.off());
+              SettingsReader.read(file),
+              TuningReader.read(Optional.empty()),
+              Operations.standard());
       server.awaitListening(START);
       return server;
     } finally {
@@ -178,6 +183,11 @@
         .put("dueS", 60.0);
   }
 
+  /** A well-formed submission of a gang. */
+  private static ObjectNode gang() {
+    return job().put("uid", "wk-000002").put("shape", "group").put("pieces", 2);
+  }
+
   /** A well-formed report. */
   static ObjectNode report(String address) {
     ObjectNode n =
