--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -115,12 +115,13 @@
   void powerOff() {
     gone = true;
     server.stop(0);
+    thread.shutdownNow();
     try {
-      thread.submit(() -> forgetAll("machine gone")).get(2, TimeUnit.SECONDS);
-    } catch (Exception e) {
-      cluster.record.line(name + " " + e);
+      thread.awaitTermination(2, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
-    thread.shutdownNow();
+    forgetAll("machine gone");
   }
 
   private double leaseS() {
