--- a/review/standins/Cluster.java
+++ b/review/standins/Cluster.java
@@ -272,9 +272,13 @@
     return !yard.equals(otherYard) && (yard.equals(cutZone) || otherYard.equals(cutZone));
   }
 
+  /**
+   * Returns whether the cut separates a worker from a controller. A caller that is not known any
+   * more has closed its connection; while a zone is cut off its request does not arrive.
+   */
   boolean isCutFrom(Worker worker, String controller) {
     int node = nodeNumber(controller);
-    return node >= 0 && separated(worker.yard, zones[node]);
+    return node >= 0 ? separated(worker.yard, zones[node]) : !cutZone.isEmpty();
   }
 
   /** Sends a worker's request to a node; across a cut it hangs. */
--- a/review/standins/Net.java
+++ b/review/standins/Net.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
@@ -112,10 +113,17 @@
     }
   }
 
+  /** Returns a free port below the range from which outgoing connections take theirs. */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    for (int i = 0; i < 100; i++) {
+      int port = 20000 + ThreadLocalRandom.current().nextInt(12000);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (IOException e) {
+        // It is in use: try another one.
+      }
     }
+    throw new IOException("no free port");
   }
 
   /** Carries connections to a port; holds all that is under way while the condition is true. */
