--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,7 +5,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 repository=$(cd "$here/../.." && pwd)
 [ -f "$repository/target/pearscale.jar" ] && [ -d "$repository/target/review" ] || exit 2
-timeout -s KILL 115 java -Dsun.net.httpserver.nodelay=true -Xmx256m -cp "$repository/target/review" \
+timeout -k 5 110 java -Dsun.net.httpserver.nodelay=true -Xmx256m -cp "$repository/target/review" \
   ZoneCutCase "$repository" "$here/record.txt" "${TROUBLE:-1}"
 code=$?
 [ "$code" -le 2 ] || code=2
--- a/review/standins/Cluster.java
+++ b/review/standins/Cluster.java
@@ -72,6 +72,7 @@
     this.folder = Files.createTempDirectory("review");
     int n = zones.length;
     processes = new Process[n];
+    Runtime.getRuntime().addShutdownHook(new Thread(this::killProcesses));
     clientPorts = new int[n];
     peerPorts = new int[n];
     peerProxies = new int[n][n];
@@ -230,13 +231,17 @@
     }
   }
 
-  @Override
-  public void close() {
+  private void killProcesses() {
     for (Process process : processes) {
       if (process != null) {
         process.destroyForcibly();
       }
     }
+  }
+
+  @Override
+  public void close() {
+    killProcesses();
     for (Process process : processes) {
       try {
         if (process != null) {
