Move the partitions of the simulated network into a class of their own

Change: NetworkPartitions has the partitions and the messages that they buffer; the cluster asks it.

--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -272,9 +272,11 @@
               .forEach(n -> n.freeze(parseSeconds(words.get(2)), words.contains("before-send")));
       case "start" -> resolveControllers(words.get(1)).forEach(SimController::start);
       case "cut" ->
-          cluster.partition(
+          cluster.partitions.partition(
               resolveName(words.get(1)), resolveName(words.get(2)), words.contains("hold"));
-      case "heal" -> cluster.heal(resolveName(words.get(1)), resolveName(words.get(2)));
+      case "heal" ->
+          cluster.partitions.heal(
+              resolveName(words.get(1)), resolveName(words.get(2)), cluster::deliverWithLatency);
       case "down" -> {
         if (words.get(1).equals("state")) {
           cluster.store.down = true;
--- a/src/test/java/io/pearscale/sim/SimulatedCluster.java
+++ b/src/test/java/io/pearscale/sim/SimulatedCluster.java
@@ -161,9 +161,7 @@
   /** Jobs that their users cancel at the moment at which the last task ends. */
   final Set<String> cancelledAtEnd = new HashSet<>();
 
-  private final Set<String> partitions = new HashSet<>();
-  private final Set<String> bufferingPartitions = new HashSet<>();
-  private final Map<String, List<Runnable>> bufferedMessages = new HashMap<>();
+  final NetworkPartitions partitions = new NetworkPartitions(agents::containsKey);
 
   SimulatedCluster(long seed) {
     random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
@@ -206,46 +204,6 @@
 
   // ---- Network ----
 
-  private static String pair(String one, String other) {
-    return one.compareTo(other) < 0 ? one + "|" + other : other + "|" + one;
-  }
-
-  private boolean matches(Set<String> set, String one, String other) {
-    return set.contains(pair(one, other))
-        || set.contains(pair(one, "all"))
-        || set.contains(pair(other, "all"))
-        || (kind(other).equals("worker") && set.contains(pair(one, "workers")))
-        || (kind(one).equals("worker") && set.contains(pair(other, "workers")));
-  }
-
-  private String kind(String name) {
-    return agents.containsKey(name) ? "worker" : "other";
-  }
-
-  /**
-   * Partitions the network between two hosts, or between a host and {@code all} or {@code workers}.
-   *
-   * @param buffer whether messages are delivered when the partition heals, rather than lost
-   */
-  void partition(String one, String other, boolean buffer) {
-    partitions.add(pair(one, other));
-    if (buffer) {
-      bufferingPartitions.add(pair(one, other));
-    }
-  }
-
-  /** Heals a partition and delivers its buffered messages, in order. */
-  void heal(String one, String other) {
-    partitions.remove(pair(one, other));
-    bufferingPartitions.remove(pair(one, other));
-    for (String key : List.copyOf(bufferedMessages.keySet())) {
-      String[] ends = key.split("\\|");
-      if (!matches(partitions, ends[0], ends[1])) {
-        bufferedMessages.remove(key).forEach(r -> after(latency(), r));
-      }
-    }
-  }
-
   private Duration latency() {
     return Duration.ofMillis(1 + random.nextInt(4)).plus(extraLatency);
   }
@@ -255,13 +213,16 @@
     if (controllerToAgentPathDown.contains(to)) {
       return;
     }
-    if (matches(partitions, from, to)) {
-      if (matches(bufferingPartitions, from, to)) {
-        bufferedMessages.computeIfAbsent(pair(from, to), k -> new ArrayList<>()).add(deliver);
-      }
+    if (partitions.separates(from, to)) {
+      partitions.intercept(from, to, deliver);
       return;
     }
-    after(latency(), deliver);
+    deliverWithLatency(deliver);
+  }
+
+  /** Delivers a message after the latency of the network. */
+  void deliverWithLatency(Runnable message) {
+    after(latency(), message);
   }
 
   /** Sends a request and its response over the network, with the injected faults. */
