Let scenarios partition a zone with its controllers, and bring heartbeats late to the next leader

Cause: no scenario could cut a zone off together with the leader while its machines still reach it, nor hold reports back until a new leader has acted; partitions were between single hosts, and late copies came after a fixed time.

--- a/src/test/java/io/pearscale/sim/NetworkPartitions.java
+++ b/src/test/java/io/pearscale/sim/NetworkPartitions.java
@@ -5,27 +5,37 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 
 /**
- * The partitions of the simulated network, between two hosts or between a host and a group of
- * others. A partition loses messages, or buffers them until it heals.
+ * The partitions of the simulated network: between two hosts, between a host and a group of others,
+ * and around a zone, whose hosts still reach each other. A partition loses messages, or buffers
+ * them until it heals.
  */
 final class NetworkPartitions {
-  private final Predicate<String> isMachine;
+  /** Tells where a host is. */
+  interface HostLocator {
+    /** Returns the zone of a machine, or empty if the host is not a machine. */
+    Optional<String> zoneOfMachine(String host);
+  }
+
+  private final HostLocator hosts;
   private final Set<String> partitions = new HashSet<>();
   private final Set<String> bufferingPartitions = new HashSet<>();
   private final Map<String, List<Runnable>> bufferedMessages = new HashMap<>();
 
-  /**
-   * Creates a network without partitions.
-   *
-   * @param isMachine tests whether the host with the given name is a machine
-   */
-  NetworkPartitions(Predicate<String> isMachine) {
-    this.isMachine = isMachine;
+  /** The zone that is partitioned from all other hosts; empty if there is none. */
+  private Optional<String> isolatedZone = Optional.empty();
+
+  /** The controllers in the isolated zone. */
+  private final Set<String> isolatedControllers = new HashSet<>();
+
+  private boolean isolationBuffers;
+
+  NetworkPartitions(HostLocator hosts) {
+    this.hosts = hosts;
   }
 
   /**
@@ -44,26 +54,56 @@
   void heal(String one, String other, Consumer<Runnable> redeliver) {
     partitions.remove(pair(one, other));
     bufferingPartitions.remove(pair(one, other));
-    for (String key : List.copyOf(bufferedMessages.keySet())) {
-      String[] ends = key.split("\\|");
-      if (!separates(ends[0], ends[1])) {
-        bufferedMessages.remove(key).forEach(redeliver);
-      }
-    }
+    deliverBuffered(redeliver);
+  }
+
+  /**
+   * Partitions the machines of a zone, and the given controllers, from all other hosts.
+   *
+   * @param buffer whether messages are delivered when the partition heals, rather than lost
+   */
+  void isolateZone(String zone, List<String> controllers, boolean buffer) {
+    isolatedZone = Optional.of(zone);
+    isolatedControllers.addAll(controllers);
+    isolationBuffers = buffer;
+  }
+
+  /** Heals the partition around the zone; {@code redeliver} receives its buffered messages. */
+  void rejoinZone(Consumer<Runnable> redeliver) {
+    isolatedZone = Optional.empty();
+    isolatedControllers.clear();
+    isolationBuffers = false;
+    deliverBuffered(redeliver);
   }
 
   /** Returns whether messages between the two hosts are lost or buffered. */
   boolean separates(String one, String other) {
-    return matches(partitions, one, other);
+    return matches(partitions, one, other) || isIsolated(one) != isIsolated(other);
+  }
+
+  /** Returns whether the host is in the isolated zone. */
+  boolean isIsolated(String host) {
+    return isolatedZone.isPresent()
+        && (isolatedControllers.contains(host) || hosts.zoneOfMachine(host).equals(isolatedZone));
   }
 
   /** Buffers or loses a message between two hosts that are separated. */
   void intercept(String from, String to, Runnable deliver) {
-    if (matches(bufferingPartitions, from, to)) {
+    boolean isolation = isIsolated(from) != isIsolated(to);
+    if (matches(bufferingPartitions, from, to) || (isolation && isolationBuffers)) {
       bufferedMessages.computeIfAbsent(pair(from, to), k -> new ArrayList<>()).add(deliver);
     }
   }
 
+  private void deliverBuffered(Consumer<Runnable> redeliver) {
+    for (String key : List.copyOf(bufferedMessages.keySet())) {
+      String[] ends = key.split("\\|");
+      if (!separates(ends[0], ends[1])) {
+        bufferedMessages.remove(key).forEach(redeliver);
+      }
+    }
+  }
+
   private static String pair(String one, String other) {
     return one.compareTo(other) < 0 ? one + "|" + other : other + "|" + one;
   }
@@ -72,7 +112,11 @@
     return set.contains(pair(one, other))
         || set.contains(pair(one, "all"))
         || set.contains(pair(other, "all"))
-        || (isMachine.test(other) && set.contains(pair(one, "workers")))
-        || (isMachine.test(one) && set.contains(pair(other, "workers")));
+        || (isMachine(other) && set.contains(pair(one, "workers")))
+        || (isMachine(one) && set.contains(pair(other, "workers")));
+  }
+
+  private boolean isMachine(String host) {
+    return hosts.zoneOfMachine(host).isPresent();
   }
 }
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -277,6 +277,14 @@
       case "heal" ->
           cluster.partitions.heal(
               resolveName(words.get(1)), resolveName(words.get(2)), cluster::deliverWithLatency);
+      case "isolate-zone" ->
+          cluster.partitions.isolateZone(
+              words.get(1),
+              words.stream().skip(2).filter(w -> !w.equals("hold")).map(this::resolveName).toList(),
+              words.contains("hold"));
+      case "rejoin-zone" -> cluster.partitions.rejoinZone(cluster::deliverWithLatency);
+      case "copy-heartbeats-for-next-leader" ->
+          cluster.lateHeartbeats.copyHeartbeatsOf(words.get(1), parseSeconds(words.get(2)));
       case "down" -> {
         if (words.get(1).equals("state")) {
           cluster.store.down = true;
--- a/src/test/java/io/pearscale/sim/SimAgent.java
+++ b/src/test/java/io/pearscale/sim/SimAgent.java
@@ -313,6 +313,7 @@
         boolean higherToken = responseToken > fencingToken;
         fencingToken = responseToken;
         leaseStart = sentAt;
+        cluster.lateHeartbeats.responseReceived(fencingToken);
         reply.body().path("orders").forEach(this::execute);
         if (higherToken) {
           requestHeartbeat();
--- a/src/test/java/io/pearscale/sim/SimulatedCluster.java
+++ b/src/test/java/io/pearscale/sim/SimulatedCluster.java
@@ -161,7 +161,8 @@
   /** Jobs that their users cancel at the moment at which the last task ends. */
   final Set<String> cancelledAtEnd = new HashSet<>();
 
-  final NetworkPartitions partitions = new NetworkPartitions(agents::containsKey);
+  final NetworkPartitions partitions = new NetworkPartitions(this::zoneOfMachine);
+  final LateHeartbeats lateHeartbeats = new LateHeartbeats(this::deliverLateHeartbeat);
 
   SimulatedCluster(long seed) {
     random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
@@ -204,6 +205,10 @@
 
   // ---- Network ----
 
+  private Optional<String> zoneOfMachine(String host) {
+    return Optional.ofNullable(agents.get(host)).map(agent -> agent.zone);
+  }
+
   private Duration latency() {
     return Duration.ofMillis(1 + random.nextInt(4)).plus(extraLatency);
   }
@@ -249,6 +254,9 @@
       return;
     }
     JsonNode copy = body.deepCopy();
+    if (path.equals("/checkin") && !partitions.separates(from, to)) {
+      lateHeartbeats.heartbeatSent(from, copy);
+    }
     if (path.equals("/do") && unsentCommands > 0) {
       unsentCommands--;
       after(Duration.ZERO, () -> once.accept(Reply.NOT_SENT));
@@ -277,6 +285,15 @@
     deliver(from, to, () -> serve(from, to, method, path, copy, onReply));
   }
 
+  /** Delivers a late copy of a heartbeat to a controller outside the isolated zone. */
+  private void deliverLateHeartbeat(String machine, JsonNode heartbeat, Duration delay) {
+    List<String> receivers =
+        controllers.keySet().stream().filter(name -> !partitions.isIsolated(name)).toList();
+    String receiver = receivers.get(random.nextInt(receivers.size()));
+    trace("late copy of a heartbeat of " + machine + " to " + receiver);
+    after(delay, () -> serve(machine, receiver, "POST", "/checkin", heartbeat, reply -> {}));
+  }
+
   /** Draws a random number only if the fault is enabled, so that other scenarios do not change. */
   private boolean drawFault(double probability) {
     return probability > 0 && random.nextDouble() < probability;
