Let no answer of a new leader shorten the lease that former leaders may renew

A zone is cut off together with the leader; late copies of reports of its machines reach the new leader, which starts their tasks elsewhere while they still run there.

Cause: IncarnationLease.renew set the start of a machine's lease to the present for each report that is answered, also when it counted until later because a former leader may renew it until election + 14 s. A report with an old token, or one whose answer is lost, proves nothing about a former leader that is cut off with the machine.

Change: every event moves the start of the lease later only. Only IncarnationLease.endPreviousLeaders moves it earlier, through MachineInventory with a RenewalEndProof: the machine has shown a token of this term, or all peers have acknowledged it. So a machine that has shown the token, now also in the reply to a probe, waits for no former leader.

Why it works: what a former leader renews is accepted until its authority is over unless one of the two proofs holds, and until then nothing else can move the time before that.

--- a/src/main/java/io/pearscale/scheduler/agents/HeartbeatProcessor.java
+++ b/src/main/java/io/pearscale/scheduler/agents/HeartbeatProcessor.java
@@ -9,6 +9,7 @@
 import io.pearscale.scheduler.model.Leadership;
 import io.pearscale.scheduler.model.Machine;
 import io.pearscale.scheduler.model.MachineInventory;
+import io.pearscale.scheduler.model.RenewalEndProof;
 import io.pearscale.scheduler.model.ReportedAttempts;
 import io.pearscale.scheduler.model.TaskAttempt;
 import java.time.Duration;
@@ -68,6 +69,7 @@
         return;
       }
       machine.markReconciled();
+      inventory.endPreviousLeaders(machine, RenewalEndProof.TOKEN_OF_THIS_TERM);
       requestPass.run();
     }
     updateLiveness(machine, heartbeat, reachable);
--- a/src/main/java/io/pearscale/scheduler/model/DecisionLog.java
+++ b/src/main/java/io/pearscale/scheduler/model/DecisionLog.java
@@ -93,6 +93,24 @@
         describeLease(machine));
   }
 
+  /**
+   * Logs that the machine's lease counts from an earlier time than before, so that its tasks are
+   * taken for ended sooner.
+   *
+   * @param earlierBy how much earlier the lease now counts
+   */
+  void recordLeaseStartLowered(Machine machine, RenewalEndProof proof, Duration earlierBy) {
+    if (LOG.isDebugEnabled()) {
+      LOG.debug(
+          "event=lease_start_lowered term={} machine={} proof={} earlier_by_ms={} {}",
+          leadership.term(),
+          machine.name(),
+          proof,
+          earlierBy.toMillis(),
+          describeLease(machine));
+    }
+  }
+
   /** Logs and counts a proof that the attempt is not on its machine. */
   void recordAbsenceProved(TaskAttempt attempt, AbsenceProof proof) {
     absencesByProof[proof.ordinal()]++;
--- a/src/main/java/io/pearscale/scheduler/model/IncarnationLease.java
+++ b/src/main/java/io/pearscale/scheduler/model/IncarnationLease.java
@@ -7,6 +7,11 @@
 /**
  * The incarnations of one agent, and the lease that bounds how long tasks in them can run.
  *
+ * <p>Invariant: the lease counts from the latest time at which it may have been renewed or may have
+ * begun. Every event can only move that time later. The one exception is {@link
+ * #endPreviousLeaders}, which requires a {@link RenewalEndProof}: what this leader itself answers
+ * proves nothing about the responses of previous leaders.
+ *
  * <p>An agent whose lease expires discards its tasks and begins its next incarnation. The lease of
  * that incarnation starts when the incarnation begins, before any heartbeat response. This class
  * distinguishes the incarnation that a message has reported (<em>observed</em>) from the lowest
@@ -18,11 +23,11 @@
  * lease has expired.
  */
 public final class IncarnationLease {
-  /** The event from which the lease was last counted. */
+  /** The event from which the lease counts. */
   enum Basis {
     /** No message was received from the agent, and no controller can have started a task there. */
     NONE,
-    /** A previous leader may have renewed the lease until this time. */
+    /** A previous leader may have renewed the lease until that time. */
     PREVIOUS_LEADERS,
     /** The incarnation was observed for the first time; it began no later than that. */
     INCARNATION_OBSERVED,
@@ -49,16 +54,28 @@
    * it.
    */
   void extendForPreviousLeaders(Instant until) {
-    if (until.isAfter(leaseStart)) {
-      leaseStart = until;
-      basis = Basis.PREVIOUS_LEADERS;
+    extendTo(until, Basis.PREVIOUS_LEADERS);
+  }
+
+  /**
+   * Ends the renewals by previous leaders that the lease counts after the given time.
+   *
+   * @param now the time from which on previous leaders certainly do not renew the lease
+   * @return how much earlier the lease now counts; zero if it counted no later renewals
+   */
+  Duration endPreviousLeaders(Instant now) {
+    if (!leaseStart.isAfter(now)) {
+      return Duration.ZERO;
     }
+    Duration earlierBy = Duration.between(now, leaseStart);
+    leaseStart = now;
+    return earlierBy;
   }
 
-  /** Records that previous leaders no longer renew the lease. */
-  public void previousLeadersEnded(Instant now) {
-    if (leaseStart.isAfter(now)) {
-      leaseStart = now;
+  private void extendTo(Instant start, Basis newBasis) {
+    if (!start.isBefore(leaseStart)) {
+      leaseStart = start;
+      basis = newBasis;
     }
   }
 
@@ -75,26 +92,27 @@
   /**
    * Records a message for which {@link #isNewer} returns true.
    *
-   * @return whether the message is the first of its incarnation, whose lease is counted from now
+   * @return whether the message is the first of its incarnation, whose lease began no later than
+   *     now
    */
   public boolean observe(Heartbeat message, Instant now) {
     boolean incarnationIsNew =
         observedIncarnation == NO_INCARNATION || message.incarnation() > observedIncarnation;
     observedIncarnation = message.incarnation();
     observedSequence = message.sequence();
-    if (incarnationIsNew && now.isAfter(leaseStart)) {
-      leaseStart = now;
-      basis = Basis.INCARNATION_OBSERVED;
+    if (incarnationIsNew) {
+      extendTo(now, Basis.INCARNATION_OBSERVED);
     }
     return incarnationIsNew;
   }
 
   /**
-   * Renews the lease from now, because a heartbeat of the current incarnation is being answered.
+   * Renews the lease from now, because a heartbeat of the current incarnation is being answered. It
+   * still counts from a later time if previous leaders may renew it until then: the heartbeat may
+   * be a late copy, or the response may be lost.
    */
   public void renew(Instant now) {
-    leaseStart = now;
-    basis = Basis.HEARTBEAT_RESPONSE;
+    extendTo(now, Basis.HEARTBEAT_RESPONSE);
   }
 
   /**
@@ -140,14 +158,14 @@
     return observedIncarnation == NO_INCARNATION ? NO_INCARNATION : observedSequence;
   }
 
-  /** Returns the event from which the lease was last counted. */
+  /** Returns the event from which the lease counts. */
   Basis basis() {
     return basis;
   }
 
   /**
-   * Returns the time since the lease was last counted; negative while previous leaders may renew
-   * it.
+   * Returns the time since the lease counts; negative while it counts renewals that previous
+   * leaders may still make.
    */
   Duration age(Instant now) {
     return basis == Basis.NONE ? Duration.ZERO : Duration.between(leaseStart, now);
--- a/src/main/java/io/pearscale/scheduler/model/MachineInventory.java
+++ b/src/main/java/io/pearscale/scheduler/model/MachineInventory.java
@@ -3,6 +3,7 @@
 import io.pearscale.protocol.MachineType;
 import io.pearscale.protocol.Settings.Team;
 import io.pearscale.scheduler.model.TaskAttempt.Stage;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.Collections;
@@ -113,6 +114,18 @@
     machine.lease().extendForPreviousLeaders(leadership.previousLeadersUntil());
   }
 
+  /**
+   * Stops counting renewals of the machine's lease by previous leaders from now on.
+   *
+   * @param proof why there can be none
+   */
+  public void endPreviousLeaders(Machine machine, RenewalEndProof proof) {
+    Duration earlierBy = machine.lease().endPreviousLeaders(clock.instant());
+    if (!earlierBy.isZero()) {
+      decisionLog.recordLeaseStartLowered(machine, proof, earlierBy);
+    }
+  }
+
   /** Records that the cloud provider has deleted the machine, which ends every task on it. */
   public void confirmDeleted(String name) {
     Machine machine = machines.remove(name);
--- a/src/main/java/io/pearscale/scheduler/records/LeaderRecovery.java
+++ b/src/main/java/io/pearscale/scheduler/records/LeaderRecovery.java
@@ -5,8 +5,8 @@
 import io.pearscale.scheduler.model.LeaderState;
 import io.pearscale.scheduler.model.Leadership;
 import io.pearscale.scheduler.model.MachineInventory;
+import io.pearscale.scheduler.model.RenewalEndProof;
 import java.time.Duration;
-import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -117,12 +117,15 @@
    */
   public void onPreviousLeadersEnded() {
     if (leadership.endPreviousLeaders()) {
-      Instant now = clock.instant();
-      inventory.all().forEach(machine -> machine.lease().previousLeadersEnded(now));
+      inventory
+          .all()
+          .forEach(
+              machine ->
+                  inventory.endPreviousLeaders(machine, RenewalEndProof.ELECTION_ACKNOWLEDGED));
       LOG.info(
           "event=previous_leader_leases_expired term={} after_ms={}",
           leadership.term(),
-          Duration.between(leadership.electedAt(), now).toMillis());
+          Duration.between(leadership.electedAt(), clock.instant()).toMillis());
     }
   }
 
--- a/src/test/java/io/pearscale/scheduler/model/IncarnationLeaseTest.java
+++ b/src/test/java/io/pearscale/scheduler/model/IncarnationLeaseTest.java
@@ -87,12 +87,28 @@
     lease.observe(message(1, 1), at(3));
     assertEquals(Basis.PREVIOUS_LEADERS, lease.basis());
     assertFalse(lease.isExpired(at(31), EXPIRY_BOUND));
-    lease.previousLeadersEnded(at(5));
+    assertEquals(Duration.ofSeconds(9), lease.endPreviousLeaders(at(5)));
     assertTrue(lease.isExpired(at(23), EXPIRY_BOUND));
-    lease.previousLeadersEnded(at(20));
+    assertEquals(Duration.ZERO, lease.endPreviousLeaders(at(20)));
     assertTrue(lease.isExpired(at(23), EXPIRY_BOUND));
   }
 
+  /** Guards against a late report that shortens the lease which previous leaders may renew. */
+  @Test
+  void heartbeatResponseDoesNotEndRenewalsByPreviousLeaders() {
+    lease.extendForPreviousLeaders(at(14));
+    lease.observe(message(1, 8), at(1));
+    lease.renew(at(1));
+    assertEquals(Basis.PREVIOUS_LEADERS, lease.basis());
+    assertTrue(lease.isHeld(at(29), Duration.ofSeconds(16)));
+    assertFalse(lease.isExpired(at(31), EXPIRY_BOUND));
+    assertTrue(lease.isExpired(at(32), EXPIRY_BOUND));
+    lease.renew(at(15));
+    assertEquals(Basis.HEARTBEAT_RESPONSE, lease.basis());
+    assertFalse(lease.isExpired(at(32), EXPIRY_BOUND));
+    assertTrue(lease.isExpired(at(33), EXPIRY_BOUND));
+  }
+
   @Test
   void heartbeatResponseRenewsLease() {
     lease.observe(message(1, 1), at(0));
--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -224,14 +224,8 @@
         holdCommits = false;
         advance(Duration.ofSeconds(2));
       }
-      case "heartbeat" -> {
-        response = Optional.empty();
-        scheduler.tell(
-            new SchedulerActor.HeartbeatReceived(
-                parseHeartbeat(words), heartbeatReceiver, a -> response = Optional.of(a)));
-        advance(Duration.ofMillis(1));
-        response.ifPresent(a -> a.commands().forEach(command -> recordStart(command.toNode())));
-      }
+      case "heartbeat" -> receiveHeartbeat(parseHeartbeat(words));
+      case "heartbeats" -> receiveHeartbeats(words);
       case "via" -> heartbeatReceiver = words.get(1);
       case "reply" -> {
         PendingRequest p = sentCommands.remove(words.get(1));
@@ -254,6 +248,37 @@
     return Optional.empty();
   }
 
+  private void receiveHeartbeat(Heartbeat heartbeat) {
+    response = Optional.empty();
+    scheduler.tell(
+        new SchedulerActor.HeartbeatReceived(
+            heartbeat, heartbeatReceiver, a -> response = Optional.of(a)));
+    advance(Duration.ofMillis(1));
+    response.ifPresent(a -> a.commands().forEach(command -> recordStart(command.toNode())));
+  }
+
+  /**
+   * Receives a heartbeat every second until the given time since the start, while leadership is
+   * proven. Words: machine, incarnation, first sequence number, fencing token, {@code until}, time,
+   * and tasks.
+   */
+  private void receiveHeartbeats(List<String> words) throws MalformedMessageException {
+    Duration until = Scenario.parseSeconds(words.get(6));
+    long sequence = Long.parseLong(words.get(3));
+    while (cluster.elapsed().compareTo(until) < 0) {
+      List<String> state =
+          new ArrayList<>(List.of(words.get(2), Long.toString(sequence++), words.get(4)));
+      state.addAll(words.subList(7, words.size()));
+      receiveHeartbeat(Heartbeat.parse(heartbeatBody(words.get(1), state)));
+      Duration next = cluster.elapsed().plusSeconds(1);
+      Duration end = next.compareTo(until) < 0 ? next : until;
+      while (cluster.elapsed().compareTo(end) < 0) {
+        proveLeadership();
+        advance(Duration.ofMillis(50));
+      }
+    }
+  }
+
   /** Writes placement records; words are 0@m-1 for a task on a machine, or 0=done. */
   private void writePlacementRecords(String job, List<String> words) {
     BitSet doneTasks = new BitSet();
