--- a/src/test/java/io/pearscale/sim/CancellationScenarioGenerator.java
+++ b/src/test/java/io/pearscale/sim/CancellationScenarioGenerator.java
@@ -14,7 +14,7 @@
   private static final int END_SECOND = 150;
 
   private final RandomGenerator random;
-  private final StringBuilder text = new StringBuilder();
+  private final ScenarioText text = new ScenarioText();
   private final int machines;
   private final int jobs;
 
@@ -30,34 +30,38 @@
   }
 
   private String build() {
-    text.append("nodes 3\nzones a b\ntype small cpus=8 mem=64 boot=5\n")
-        .append("machines small a ordinary %d\n".formatted(machines / 2))
-        .append("machines small b ordinary %d\n".formatted(machines - machines / 2))
-        .append("drift hive-0 1.0005\ndrift hive-1 0.9995\n")
-        .append("team t\nteam u cpus_max=%d\n".formatted(2 * machines));
+    text.statement("nodes 3");
+    text.statement("zones a b");
+    text.statement("type small cpus=8 mem=64 boot=5");
+    text.statement("machines small a ordinary %d", machines / 2);
+    text.statement("machines small b ordinary %d", machines - machines / 2);
+    text.statement("drift hive-0 1.0005");
+    text.statement("drift hive-1 0.9995");
+    text.statement("team t");
+    text.statement("team u cpus_max=%d", 2 * machines);
     appendSubmissions();
     appendCancels();
     int faultCount = 2 + random.nextInt(3);
     for (int i = 0; i < faultCount; i++) {
       appendFault(FIRST_CANCEL_SECOND - 4 + random.nextDouble() * 30);
     }
-    return text.append("until " + END_SECOND + "\n").toString();
+    text.statement("until %d", END_SECOND);
+    return text.toString();
   }
 
   private void appendSubmissions() {
     for (int i = 0; i < jobs; i++) {
       boolean checkpoints = random.nextInt(3) == 0;
-      text.append(
-              "at %.2f submit wk-%d %s tasks=%d cpus=%d run=400"
-                  .formatted(
-                      1 + random.nextDouble() * 8,
-                      i,
-                      random.nextInt(3) == 0 ? "service" : "batch",
-                      1 + random.nextInt(5),
-                      1 + random.nextInt(3)))
-          .append(checkpoints ? " checkpoint=5 save=%d".formatted(1 + random.nextInt(12)) : "")
-          .append(random.nextInt(3) == 0 ? " team=u" : "")
-          .append(" image=i%d\n".formatted(random.nextInt(5)));
+      text.event(
+          1 + random.nextDouble() * 8,
+          "submit wk-%d %s tasks=%d cpus=%d run=400%s%s image=i%d",
+          i,
+          random.nextInt(3) == 0 ? "service" : "batch",
+          1 + random.nextInt(5),
+          1 + random.nextInt(3),
+          checkpoints ? " checkpoint=5 save=%d".formatted(1 + random.nextInt(12)) : "",
+          random.nextInt(3) == 0 ? " team=u" : "",
+          random.nextInt(5));
     }
   }
 
@@ -68,7 +72,7 @@
       int kind = random.nextInt(4);
       double at = kind < 2 ? burst + random.nextDouble() * 2 : burst + random.nextDouble() * 40;
       if (kind < 3) {
-        text.append("at %.2f cancel wk-%d\n".formatted(at, i));
+        text.event(at, "cancel wk-%d", i);
       }
     }
   }
@@ -79,22 +83,21 @@
     String hold = random.nextBoolean() ? " hold" : "";
     switch (random.nextInt(14)) {
       case 0 ->
-          appendTemporaryFault(
-              at, "lose-heartbeat-responses %.2f".formatted(random.nextDouble() * 0.7), end);
+          text.temporaryFault(
+              at, end, "lose-heartbeat-responses %.2f".formatted(random.nextDouble() * 0.7));
       case 1 ->
-          appendTemporaryFault(
-              at, "lose-commands %.2f".formatted(0.3 + random.nextDouble() * 0.7), end);
+          text.temporaryFault(
+              at, end, "lose-commands %.2f".formatted(0.3 + random.nextDouble() * 0.7));
       case 2 ->
-          appendTemporaryFault(
-              at, "processing-time all %.4f".formatted(random.nextDouble() * 0.06 / machines), end);
+          text.temporaryFault(
+              at, end, "processing-time all %.4f".formatted(random.nextDouble() * 0.06 / machines));
       case 3 ->
-          appendTemporaryFault(
-              at, "network-latency %.2f".formatted(random.nextDouble() * 2.2), end);
+          text.temporaryFault(at, end, "network-latency %.2f".formatted(random.nextDouble() * 2.2));
       case 4 ->
-          appendTemporaryFault(at, "store-latency %.2f".formatted(random.nextDouble() * 1.4), end);
-      case 5 -> appendEvent(at, "delay-commands %d %.2f", machines, 2 + random.nextDouble() * 14);
-      case 6 -> appendEvent(at, "freeze %s %.2f before-send", node, 1 + random.nextDouble() * 20);
-      case 7 -> appendRestart(node, at, end);
+          text.temporaryFault(at, end, "store-latency %.2f".formatted(random.nextDouble() * 1.4));
+      case 5 -> text.event(at, "delay-commands %d %.2f", machines, 2 + random.nextDouble() * 14);
+      case 6 -> text.event(at, "freeze %s %.2f before-send", node, 1 + random.nextDouble() * 20);
+      case 7 -> text.restart(at, random.nextBoolean() ? at + 0.3 : end, node);
       case 8 -> appendFaultOnHost(at, end, "cut", "heal", node + " state" + hold, node + " state");
       case 9 ->
           appendFaultOnHost(at, end, "cut", "heal", node + " workers" + hold, node + " workers");
@@ -109,22 +112,6 @@
     }
   }
 
-  private void appendEvent(double at, String format, Object... values) {
-    text.append("at %.2f ".formatted(at)).append(format.formatted(values)).append('\n');
-  }
-
-  /** Appends a command whose last argument is a number, and resets that number to 0 at the end. */
-  private void appendTemporaryFault(double at, String command, double end) {
-    appendEvent(at, "%s", command);
-    appendEvent(end, "%s 0", command.substring(0, command.lastIndexOf(' ')));
-  }
-
-  private void appendRestart(String node, double at, double end) {
-    appendEvent(at, "alias %s restarted%.0f", node, at);
-    appendEvent(at, "crash restarted%.0f", at);
-    appendEvent(random.nextBoolean() ? at + 0.3 : end, "start restarted%.0f", at);
-  }
-
   private void appendFaultOnHost(
       double at,
       double end,
@@ -136,12 +123,11 @@
     String alias = "host%.0f".formatted(at * 100);
     boolean leader = host.equals("leader-if-any");
     if (leader) {
-      appendEvent(at, "alias leader-if-any %s", alias);
+      text.event(at, "alias leader-if-any %s", alias);
     }
-    appendEvent(
+    text.event(
         at, "%s %s", startCommand, leader ? startArguments.replace(host, alias) : startArguments);
-    appendEvent(
-        end, "%s %s", endCommand, leader ? endArguments.replace(host, alias) : endArguments);
+    text.event(end, "%s %s", endCommand, leader ? endArguments.replace(host, alias) : endArguments);
   }
 
   private void appendFaultOnMachines(
@@ -149,8 +135,8 @@
     int count = 1 + random.nextInt(Math.max(2, machines / 4));
     for (int i = 0; i < count; i++) {
       String name = "m-%06d".formatted(random.nextInt(machines));
-      appendEvent(at, "%s %s%s", startCommand, name, arguments);
-      appendEvent(end, "%s %s%s", endCommand, name, arguments.replace(" hold", ""));
+      text.event(at, "%s %s%s", startCommand, name, arguments);
+      text.event(end, "%s %s%s", endCommand, name, arguments.replace(" hold", ""));
     }
   }
 }
--- a/src/test/java/io/pearscale/sim/LeaseExpiryScenarioGenerator.java
+++ b/src/test/java/io/pearscale/sim/LeaseExpiryScenarioGenerator.java
@@ -16,7 +16,7 @@
   private static final int END_SECOND = 110;
 
   private final RandomGenerator random;
-  private final StringBuilder text = new StringBuilder();
+  private final ScenarioText text = new ScenarioText();
   private final int machines;
   private final double lease;
 
@@ -36,12 +36,16 @@
   }
 
   private String build() {
-    text.append("nodes 3\nzones a b\ntype small cpus=8 mem=64 boot=5\n")
-        .append("workers report=2 lease=%.2f cancel=%.2f\n".formatted(lease, lease + 20))
-        .append("machines small a ordinary %d\n".formatted(machines / 2))
-        .append("machines small b ordinary %d\n".formatted(machines - machines / 2))
-        .append("drift hive-0 1.0005\ndrift hive-1 0.9995\n")
-        .append("team t\nteam u cpus_max=%d\n".formatted(2 * machines));
+    text.statement("nodes 3");
+    text.statement("zones a b");
+    text.statement("type small cpus=8 mem=64 boot=5");
+    text.statement("workers report=2 lease=%.2f cancel=%.2f", lease, lease + 20);
+    text.statement("machines small a ordinary %d", machines / 2);
+    text.statement("machines small b ordinary %d", machines - machines / 2);
+    text.statement("drift hive-0 1.0005");
+    text.statement("drift hive-1 0.9995");
+    text.statement("team t");
+    text.statement("team u cpus_max=%d", 2 * machines);
     appendSubmissions();
     double firstExpiry = 14 + random.nextDouble() * 8;
     appendLeaseExpiry(firstExpiry);
@@ -52,7 +56,8 @@
     for (int i = 0; i < otherFaults; i++) {
       appendOtherFault(firstExpiry + random.nextDouble() * (lease + 6));
     }
-    return text.append("until " + END_SECOND + "\n").toString();
+    text.statement("until %d", END_SECOND);
+    return text.toString();
   }
 
   /** Submits more than fits, so that resources considered free are used at once. */
@@ -60,18 +65,17 @@
     int jobs = machines;
     for (int i = 0; i < jobs; i++) {
       boolean service = random.nextInt(10) == 0;
-      text.append(
-              "at %.2f submit wk-%d %s tasks=%d cpus=%d run=%d"
-                  .formatted(
-                      1 + random.nextDouble() * 50,
-                      i,
-                      service ? "service" : "batch",
-                      1 + random.nextInt(6),
-                      1 + random.nextInt(8),
-                      random.nextBoolean() ? 400 : 10 + random.nextInt(20)))
-          .append(random.nextInt(4) == 0 ? " team=u" : "")
-          .append(random.nextInt(5) == 0 ? " one-zone" : random.nextInt(5) == 0 ? " spread" : "")
-          .append(" image=i%d\n".formatted(random.nextInt(5)));
+      text.event(
+          1 + random.nextDouble() * 50,
+          "submit wk-%d %s tasks=%d cpus=%d run=%d%s%s image=i%d",
+          i,
+          service ? "service" : "batch",
+          1 + random.nextInt(6),
+          1 + random.nextInt(8),
+          random.nextBoolean() ? 400 : 10 + random.nextInt(20),
+          random.nextInt(4) == 0 ? " team=u" : "",
+          random.nextInt(5) == 0 ? " one-zone" : random.nextInt(5) == 0 ? " spread" : "",
+          random.nextInt(5));
     }
   }
 
@@ -93,13 +97,13 @@
     String node = random.nextInt(3) > 0 ? "leader-if-any" : "hive-" + random.nextInt(3);
     switch (random.nextInt(8)) {
       case 0 ->
-          appendEvent(
+          text.event(
               at, "delay-commands %d %.2f", 1 + random.nextInt(machines), random.nextDouble() * 18);
-      case 1 -> appendEvent(at, "freeze %s %.2f before-send", node, 1 + random.nextDouble() * 20);
+      case 1 -> text.event(at, "freeze %s %.2f before-send", node, 1 + random.nextDouble() * 20);
       case 2 -> {
-        appendEvent(at, "alias %s ended%.0f", node, at);
-        appendEvent(at, "crash ended%.0f", at);
-        appendEvent(at + random.nextDouble() * 6, "start ended%.0f", at);
+        text.event(at, "alias %s ended%.0f", node, at);
+        text.event(at, "crash ended%.0f", at);
+        text.event(at + random.nextDouble() * 6, "start ended%.0f", at);
       }
       case 3 -> appendFaultOnMachines(at, at, "reboot", "", "");
       case 4 -> appendTemporaryFault(at, "network-latency %.2f".formatted(random.nextDouble()));
@@ -108,22 +112,16 @@
               at, "lose-heartbeat-responses %.2f".formatted(random.nextDouble() * 0.7));
       case 6 -> appendTemporaryFault(at, "lose-commands %.2f".formatted(random.nextDouble()));
       default -> {
-        appendEvent(at, "alias %s apart%.0f", node, at);
-        appendEvent(at, "cut apart%.0f workers%s", at, random.nextBoolean() ? " hold" : "");
-        appendEvent(at + 2 + random.nextDouble() * 20, "heal apart%.0f workers", at);
+        text.event(at, "alias %s apart%.0f", node, at);
+        text.event(at, "cut apart%.0f workers%s", at, random.nextBoolean() ? " hold" : "");
+        text.event(at + 2 + random.nextDouble() * 20, "heal apart%.0f workers", at);
       }
     }
   }
 
-  private void appendEvent(double at, String format, Object... values) {
-    text.append("at %.2f ".formatted(at)).append(format.formatted(values)).append('\n');
-  }
-
   /** Appends a command whose last argument is a number, and resets it to 0 within 20 s. */
   private void appendTemporaryFault(double at, String command) {
-    appendEvent(at, "%s", command);
-    appendEvent(
-        at + random.nextDouble() * 20, "%s 0", command.substring(0, command.lastIndexOf(' ')));
+    text.temporaryFault(at, at + random.nextDouble() * 20, command);
   }
 
   /**
@@ -138,10 +136,10 @@
     double endSpread = random.nextBoolean() ? 0 : random.nextDouble() * 2;
     for (int i = 0; i < count; i++) {
       String name = "m-%06d".formatted((firstMachine + i) % machines);
-      appendEvent(at, "%s %s%s", startCommand, name, arguments);
+      text.event(at, "%s %s%s", startCommand, name, arguments);
       if (!endCommand.isEmpty()) {
         double endOfFault = end + endSpread * random.nextDouble();
-        appendEvent(endOfFault, "%s %s%s", endCommand, name, arguments.replace(" hold", ""));
+        text.event(endOfFault, "%s %s%s", endCommand, name, arguments.replace(" hold", ""));
       }
     }
   }
