--- a/src/test/java/io/pearscale/sim/CancellationScenarioGenerator.java
+++ b/src/test/java/io/pearscale/sim/CancellationScenarioGenerator.java
@@ -33,12 +33,9 @@
     text.statement("nodes 3");
     text.statement("zones a b");
     text.statement("type small cpus=8 mem=64 boot=5");
-    text.statement("machines small a ordinary %d", machines / 2);
-    text.statement("machines small b ordinary %d", machines - machines / 2);
-    text.statement("drift hive-0 1.0005");
-    text.statement("drift hive-1 0.9995");
-    text.statement("team t");
-    text.statement("team u cpus_max=%d", 2 * machines);
+    text.machinesInTwoZones(machines);
+    text.clockDrift();
+    text.teams(2 * machines);
     appendSubmissions();
     appendCancels();
     int faultCount = 2 + random.nextInt(3);
--- a/src/test/java/io/pearscale/sim/FormerLeaderScenarioGenerator.java
+++ b/src/test/java/io/pearscale/sim/FormerLeaderScenarioGenerator.java
@@ -75,10 +75,8 @@
     for (String each : ZONES) {
       text.statement("machines small %s ordinary %d", each, machines / ZONES.length);
     }
-    text.statement("drift hive-0 1.0005");
-    text.statement("drift hive-1 0.9995");
-    text.statement("team t");
-    text.statement("team u cpus_max=%d", machines);
+    text.clockDrift();
+    text.teams(machines);
   }
 
   /** Submits jobs that take about half of the fleet's capacity and outlast the partition. */
--- a/src/test/java/io/pearscale/sim/LeaseExpiryScenarioGenerator.java
+++ b/src/test/java/io/pearscale/sim/LeaseExpiryScenarioGenerator.java
@@ -40,12 +40,9 @@
     text.statement("zones a b");
     text.statement("type small cpus=8 mem=64 boot=5");
     text.statement("workers report=2 lease=%.2f cancel=%.2f", lease, lease + 20);
-    text.statement("machines small a ordinary %d", machines / 2);
-    text.statement("machines small b ordinary %d", machines - machines / 2);
-    text.statement("drift hive-0 1.0005");
-    text.statement("drift hive-1 0.9995");
-    text.statement("team t");
-    text.statement("team u cpus_max=%d", 2 * machines);
+    text.machinesInTwoZones(machines);
+    text.clockDrift();
+    text.teams(2 * machines);
     appendSubmissions();
     double firstExpiry = 14 + random.nextDouble() * 8;
     appendLeaseExpiry(firstExpiry);
--- a/src/test/java/io/pearscale/sim/ScenarioText.java
+++ b/src/test/java/io/pearscale/sim/ScenarioText.java
@@ -9,6 +9,24 @@
     text.append(format.formatted(values)).append('\n');
   }
 
+  /** Appends machines, half of them in each of the zones a and b, that are up at the start. */
+  void machinesInTwoZones(int machines) {
+    statement("machines small a ordinary %d", machines / 2);
+    statement("machines small b ordinary %d", machines - machines / 2);
+  }
+
+  /** Lets the clocks of two controllers drift as far apart as the protocol allows. */
+  void clockDrift() {
+    statement("drift hive-0 1.0005");
+    statement("drift hive-1 0.9995");
+  }
+
+  /** Appends a team without a quota limit, and one that may use the given number of CPUs. */
+  void teams(int cpuLimit) {
+    statement("team t");
+    statement("team u cpus_max=%d", cpuLimit);
+  }
+
   /** Appends an action at the given second. */
   void event(double at, String format, Object... values) {
     text.append("at %.2f ".formatted(at)).append(format.formatted(values)).append('\n');
