Show that a start held up in an answer runs beside its replacement

With real processes an answer that carries such a start is held up, a direct command overtakes it, and the leader takes the start for void: one task runs on two machines.

The stand-ins take blocks of ports, write compact bodies, begin a task at once when its image is cached, and can hold up commands and answers.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$folder/../.." && pwd)"
 [ -d "$root/target/review-2" ] && [ -f "$root/target/pearscale.jar" ] || exit 2
-exec java -Xmx256m -cp "$root/target/review-2" StartAfterCancelCase "$root" "$folder"
+exec java -Xmx256m -cp "$root/target/review-2" OvertakenStartCase "$root" "$folder"
--- a/review/standins-2/Lab.java
+++ b/review/standins-2/Lab.java
@@ -7,10 +7,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
@@ -21,7 +19,7 @@
 /** A small deployment: three controllers as processes, and stand-ins for all else. */
 final class Lab implements AutoCloseable {
   static final int NODES = 3;
-  private static final Set<Integer> GIVEN_PORTS = new HashSet<>();
+  private static final int BLOCK = 200;
 
   /** The settings of the deployment, with defaults like those of the brief's first site. */
   static final class Options {
@@ -94,7 +92,8 @@
   private final Process[] processes = new Process[NODES];
   private final Map<String, Proxy> proxies = new HashMap<>();
   private final Map<String, Integer> proxyPorts = new HashMap<>();
-  private int nextMachinePort;
+  private final ServerSocket block = takeBlock();
+  private int nextPort = block.getLocalPort() + 1;
 
   Lab(Path root, Path caseFolder, Options options) throws Exception {
     this.root = root;
@@ -153,17 +152,28 @@
     return proxies.get(name);
   }
 
-  /** A port below those that the system gives to outgoing connections. */
-  private static synchronized int freePort() throws IOException {
+  /** Takes a block of ports below those that the system gives to outgoing connections. */
+  private static ServerSocket takeBlock() throws IOException {
     for (int i = 0; i < 1000; i++) {
-      int port = 20_000 + ThreadLocalRandom.current().nextInt(12_000);
-      if (GIVEN_PORTS.add(port)) {
-        try (ServerSocket socket = new ServerSocket()) {
-          socket.bind(new InetSocketAddress(Http.LOOPBACK, port));
-          return port;
-        } catch (BindException e) {
-          // Somebody has it.
-        }
+      int first = 20_000 + BLOCK * ThreadLocalRandom.current().nextInt(12_000 / BLOCK);
+      try {
+        // Held for as long as the case runs, so that another one takes another block.
+        return new ServerSocket(first, 1, Http.LOOPBACK);
+      } catch (BindException e) {
+        // Another case has it.
+      }
+    }
+    throw new IOException("no free block of ports");
+  }
+
+  private synchronized int freePort() throws IOException {
+    while (nextPort < block.getLocalPort() + BLOCK) {
+      int port = nextPort++;
+      try (ServerSocket socket = new ServerSocket()) {
+        socket.bind(new InetSocketAddress(Http.LOOPBACK, port));
+        return port;
+      } catch (BindException e) {
+        // Somebody has it.
       }
     }
     throw new IOException("no free port");
@@ -371,7 +381,7 @@
       world.uploaded.put(id, job);
     }
     Map<String, Object> sent = new TreeMap<>(job);
-    sent.keySet().removeIf(field -> field.startsWith("realS"));
+    sent.keySet().removeIf(field -> field.startsWith("real"));
     Http.Reply reply = Http.call(client[node], "POST", "/work", sent, 5000);
     world.log("submit " + id + " at hive-" + node + ": " + reply.status() + " " + reply.body());
     if (reply.status() == 200 || reply.status() == 201) {
--- a/review/standins-2/Pack.java
+++ b/review/standins-2/Pack.java
@@ -39,22 +39,18 @@
       out.writeByte(0xcb);
       out.writeDouble(d);
     } else if (value instanceof Number n) {
-      out.writeByte(0xd3);
-      out.writeLong(n.longValue());
+      writeWhole(out, n.longValue());
     } else if (value instanceof String s) {
       byte[] text = s.getBytes(StandardCharsets.UTF_8);
-      out.writeByte(0xdb);
-      out.writeInt(text.length);
+      writeSize(out, text.length, 0xa0, 31, 0xda);
       out.write(text);
     } else if (value instanceof List<?> list) {
-      out.writeByte(0xdd);
-      out.writeInt(list.size());
+      writeSize(out, list.size(), 0x90, 15, 0xdc);
       for (Object element : list) {
         write(out, element);
       }
     } else if (value instanceof Map<?, ?> map) {
-      out.writeByte(0xdf);
-      out.writeInt(map.size());
+      writeSize(out, map.size(), 0x80, 15, 0xde);
       for (Map.Entry<?, ?> entry : map.entrySet()) {
         write(out, entry.getKey());
         write(out, entry.getValue());
@@ -64,6 +60,32 @@
     }
   }
 
+  private static void writeWhole(DataOutputStream out, long number) throws IOException {
+    if (number >= 0 && number < 0x80) {
+      out.writeByte((int) number);
+    } else if (number >= 0 && number <= 0xffff) {
+      out.writeByte(0xcd);
+      out.writeShort((int) number);
+    } else {
+      out.writeByte(0xd3);
+      out.writeLong(number);
+    }
+  }
+
+  /** Writes a size in one byte, in two after a byte, or in four after the next higher byte. */
+  private static void writeSize(DataOutputStream out, int size, int small, int most, int wide)
+      throws IOException {
+    if (size <= most) {
+      out.writeByte(small | size);
+    } else if (size <= 0xffff) {
+      out.writeByte(wide);
+      out.writeShort(size);
+    } else {
+      out.writeByte(wide + 1);
+      out.writeInt(size);
+    }
+  }
+
   /** Returns the decoded value, or null if there is none. */
   static Object decode(byte[] bytes) {
     return bytes.length == 0 ? null : read(ByteBuffer.wrap(bytes));
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -51,8 +51,26 @@
   private boolean hanging;
   private int node;
 
-  /** What an answer to a report was, for cases that watch it. */
-  volatile int lastStatus;
+  /** When the last report was answered with 200, in seconds. */
+  volatile double answeredAt;
+
+  /** A direct command that tells this machine to run that task is held up until released. */
+  volatile String heldRun = "";
+
+  /** When a direct command began to be held up, in seconds; 0 if none was. */
+  volatile double heldRunSince;
+
+  /** The connection of the next report is reset when the answer is under way. */
+  volatile boolean loseNextAnswer;
+
+  /** When the connection of a report was reset, in seconds; 0 if none was. */
+  volatile double answerLostAt;
+
+  /** How long the answer to the next report is held up, in milliseconds. */
+  volatile int holdNextAnswerMs;
+
+  /** When an answer began to be held up, in seconds; 0 if none was. */
+  volatile double answerHeldSince;
 
   Worker(
       World world, String name, int port, String yard, boolean windfall, Map<String, Object> type,
@@ -184,12 +202,27 @@
     }
     int target = node;
     Http.Reply reply = Http.call(nodePorts[target], "POST", "/checkin", body, 4000);
+    if (loseNextAnswer) {
+      loseNextAnswer = false;
+      world.log(
+          "network: " + name + " loses the answer to its report: " + reply.status() + " "
+              + reply.body());
+      reply = new Http.Reply(0, null);
+      answerLostAt = world.seconds();
+    } else if (holdNextAnswerMs > 0) {
+      world.log(
+          "network: the answer to " + name + " (token " + body.get("baton") + ") is held up: " + reply.status() + " "
+              + reply.body());
+      answerHeldSince = world.seconds();
+      int wait = holdNextAnswerMs;
+      holdNextAnswerMs = 0;
+      sleep(wait);
+    }
     try {
       awaitAwake();
     } catch (InterruptedException e) {
       return;
     }
-    lastStatus = reply.status();
     if (now() > sentAt + 4000) {
       reply = new Http.Reply(0, null);
     }
@@ -200,6 +233,7 @@
         if (session == stint && !dead && given instanceof Number n && n.longValue() >= baton) {
           baton = n.longValue();
           leaseFrom = sentAt;
+          answeredAt = world.seconds();
           List<?> orders = (List<?>) reply.map().getOrDefault("orders", List.of());
           noteRuns(orders, sentSeconds);
           execute(orders, "report");
@@ -281,6 +315,10 @@
     piece.stage = "running";
     changed = true;
     world.begins(piece.name, name, piece.attempt);
+    if (job.containsKey("realError")) {
+      end(piece, "error");
+      return;
+    }
     if (job.get("shape").equals("batch")) {
       String own = "realS" + piece.name.substring(piece.name.indexOf('/'));
       double run = ((Number) job.getOrDefault(own, job.get("realS"))).doubleValue();
@@ -300,6 +338,13 @@
 
   private Http.Reply answer(String method, String path, String query, Object body)
       throws InterruptedException {
+    if (path.equals("/do") && tellsToRun((Map<?, ?>) body, heldRun)) {
+      world.log("network: a direct command to " + name + " is held up: " + body);
+      heldRunSince = world.seconds();
+      while (!heldRun.isEmpty()) {
+        Thread.sleep(10);
+      }
+    }
     awaitAwake();
     synchronized (this) {
       if (dead) {
@@ -324,14 +369,21 @@
     }
   }
 
+  private static boolean tellsToRun(Map<?, ?> command, String piece) {
+    for (Object o : (List<?>) command.get("orders")) {
+      Map<?, ?> order = (Map<?, ?>) o;
+      if (order.get("verb").equals("run") && order.get("piece").equals(piece)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** The direct command that told this machine to run a task, or null. */
   synchronized Map<?, ?> executedRunOf(String piece) {
     for (Map<?, ?> command : executed) {
-      for (Object o : (List<?>) command.get("orders")) {
-        Map<?, ?> order = (Map<?, ?>) o;
-        if (order.get("verb").equals("run") && order.get("piece").equals(piece)) {
-          return command;
-        }
+      if (tellsToRun(command, piece)) {
+        return command;
       }
     }
     return null;
@@ -395,6 +447,9 @@
     if (added.stage.equals("fetching")) {
       boolean cached = images.contains((String) job.get("bundle"));
       added.readyAt = now() + (cached ? 0 : (long) (num(job, "imageGb") / fetchGbPerS * 1000));
+      if (cached) {
+        begin(added);
+      }
     }
   }
 
