Log the tokens under which attempts are forgotten, and count outcomes of commands

New: forgets_sent (debug) with the token of the message and the highest start token of each attempt; starts_sent and forgets_sent are given the token by the sender. statistics counts direct commands by outcome (executed, refused, not sent, unknown) and the increments of tokens: the price of more increments is refused commands.

--- a/src/main/java/io/pearscale/scheduler/agents/CommandDispatcher.java
+++ b/src/main/java/io/pearscale/scheduler/agents/CommandDispatcher.java
@@ -7,6 +7,7 @@
 import io.pearscale.protocol.Settings;
 import io.pearscale.scheduler.model.AbsenceProof;
 import io.pearscale.scheduler.model.AgentTimings;
+import io.pearscale.scheduler.model.CommandOutcome;
 import io.pearscale.scheduler.model.DecisionLog;
 import io.pearscale.scheduler.model.DecisionLog.Channel;
 import io.pearscale.scheduler.model.LeaderState;
@@ -136,7 +137,7 @@
     List<AgentCommand> commands =
         dueCommands.take(machine, /* inHeartbeatResponse= */ false, clock.instant());
     if (!commands.isEmpty()) {
-      decisions.recordStartsSent(machine, commands, Channel.COMMAND);
+      decisions.recordCommandsSent(machine, machine.fencing().current(), commands, Channel.COMMAND);
       send(machine, commands);
     }
   }
@@ -145,7 +146,8 @@
   List<AgentCommand> commandsForHeartbeatResponse(Machine machine) {
     List<AgentCommand> commands =
         dueCommands.take(machine, /* inHeartbeatResponse= */ true, clock.instant());
-    decisions.recordStartsSent(machine, commands, Channel.HEARTBEAT_RESPONSE);
+    decisions.recordCommandsSent(
+        machine, machine.fencing().current(), commands, Channel.HEARTBEAT_RESPONSE);
     return commands;
   }
 
@@ -190,8 +192,10 @@
     boolean executed = reply.status() == CommandRequest.STATUS_EXECUTED;
     boolean refused = reply.status() == CommandRequest.STATUS_REFUSED;
     if ((executed || refused) && processHeartbeatInReply(call, reply, refused)) {
+      recordOutcome(call, executed ? CommandOutcome.EXECUTED : CommandOutcome.REFUSED);
       return;
     }
+    recordOutcome(call, reply.notSent() ? CommandOutcome.NOT_SENT : CommandOutcome.UNKNOWN);
     if (reply.notSent()) {
       // A call that was not sent says nothing about the machine. The next heartbeat or tick
       // retries.
@@ -204,6 +208,12 @@
     }
   }
 
+  private void recordOutcome(CommandCall call, CommandOutcome outcome) {
+    if (!call.isProbe()) {
+      decisions.recordCommandOutcome(outcome);
+    }
+  }
+
   /**
    * Doubles the backoff with each missed probe, so that probing the machines of a partitioned zone
    * does not overload the leader.
--- a/src/main/java/io/pearscale/scheduler/model/DecisionLog.java
+++ b/src/main/java/io/pearscale/scheduler/model/DecisionLog.java
@@ -30,6 +30,7 @@
   private final InstantSource clock;
   private final int[] absencesByProof = new int[AbsenceProof.values().length];
   private final int[] startsByChannel = new int[Channel.values().length];
+  private final int[] commandsByOutcome = new int[CommandOutcome.values().length];
   private int newIncarnations;
 
   /** Creates a log for the decisions of a leader. */
@@ -38,24 +39,50 @@
     this.clock = clock;
   }
 
-  /** Logs and counts the start commands among the commands that are being sent. */
-  public void recordStartsSent(Machine machine, List<AgentCommand> commands, Channel channel) {
+  /**
+   * Logs and counts the starts among the commands that are being sent, and logs the attempts that
+   * the agent is told to forget.
+   *
+   * @param fencingToken the token that the message carries
+   */
+  public void recordCommandsSent(
+      Machine machine, long fencingToken, List<AgentCommand> commands, Channel channel) {
     int previousCount = startsByChannel[channel.ordinal()];
+    boolean forgets = false;
     for (AgentCommand command : commands) {
       startsByChannel[channel.ordinal()] += command.verb() == AgentCommand.Verb.START ? 1 : 0;
+      forgets |= command.verb() == AgentCommand.Verb.FORGET;
     }
-    if (startsByChannel[channel.ordinal()] > previousCount && LOG.isDebugEnabled()) {
-      LOG.debug(
-          "event=starts_sent term={} machine={} fencing_token={} channel={} {} tasks={}",
-          leadership.term(),
-          machine.name(),
-          machine.fencing().current(),
-          channel,
-          describeLease(machine),
-          describeStarts(commands));
+    if (!LOG.isDebugEnabled()) {
+      return;
+    }
+    if (startsByChannel[channel.ordinal()] > previousCount) {
+      logCommandsSent("starts_sent", machine, fencingToken, channel, describeStarts(commands));
+    }
+    if (forgets) {
+      logCommandsSent(
+          "forgets_sent", machine, fencingToken, channel, describeForgets(machine, commands));
     }
   }
 
+  private void logCommandsSent(
+      String event, Machine machine, long fencingToken, Channel channel, List<String> tasks) {
+    LOG.debug(
+        "event={} term={} machine={} fencing_token={} channel={} {} tasks={}",
+        event,
+        leadership.term(),
+        machine.name(),
+        fencingToken,
+        channel,
+        describeLease(machine),
+        tasks);
+  }
+
+  /** Counts a direct call with commands by its outcome. */
+  public void recordCommandOutcome(CommandOutcome outcome) {
+    commandsByOutcome[outcome.ordinal()]++;
+  }
+
   private static List<String> describeStarts(List<AgentCommand> commands) {
     return commands.stream()
         .filter(command -> command.verb() == AgentCommand.Verb.START)
@@ -63,6 +90,25 @@
         .toList();
   }
 
+  /**
+   * Describes each attempt to be forgotten with the highest token of its starts. An agent that has
+   * forgotten an attempt refuses copies of its starts only if it has seen a higher token or is in a
+   * later incarnation.
+   */
+  private static List<String> describeForgets(Machine machine, List<AgentCommand> commands) {
+    return commands.stream()
+        .filter(command -> command.verb() == AgentCommand.Verb.FORGET)
+        .map(command -> new AttemptId(command.task(), command.attempt()))
+        .map(
+            attempt ->
+                "%s@%d:%d"
+                    .formatted(
+                        attempt.task(),
+                        attempt.attempt(),
+                        machine.reportedAttempts().ended().get(attempt)))
+        .toList();
+  }
+
   /**
    * Logs and counts an unexpected new incarnation, or the first one after the machine's lease
    * expired.
@@ -143,13 +189,15 @@
   /** Returns the counts since the last call as fields of a log line, and resets them. */
   String takeCounts() {
     String counts =
-        "starts=%s absences=%s incarnations=%d"
+        "starts=%s absences=%s incarnations=%d commands=%s"
             .formatted(
                 Arrays.toString(startsByChannel).replace(" ", ""),
                 Arrays.toString(absencesByProof).replace(" ", ""),
-                newIncarnations);
+                newIncarnations,
+                Arrays.toString(commandsByOutcome).replace(" ", ""));
     Arrays.fill(startsByChannel, 0);
     Arrays.fill(absencesByProof, 0);
+    Arrays.fill(commandsByOutcome, 0);
     newIncarnations = 0;
     return counts;
   }
--- a/src/main/java/io/pearscale/scheduler/model/FencingTokens.java
+++ b/src/main/java/io/pearscale/scheduler/model/FencingTokens.java
@@ -11,6 +11,7 @@
 public final class FencingTokens {
   private static final long NO_TOKEN = -1;
 
+  private long first;
   private long current;
   private long observed;
   private long lastResponseToken = NO_TOKEN;
@@ -38,9 +39,15 @@
 
   /** Sets the leader's first token for the machine in this term. */
   void initialize(long firstToken) {
+    first = firstToken;
     current = firstToken;
   }
 
+  /** Returns how often the token was incremented in this term. */
+  long increments() {
+    return current - first;
+  }
+
   /**
    * Increments the token. Once the machine reports the new token, it executes no command with an
    * older one.
--- a/src/main/java/io/pearscale/scheduler/model/LeaderStatistics.java
+++ b/src/main/java/io/pearscale/scheduler/model/LeaderStatistics.java
@@ -67,7 +67,7 @@
     LOG.info(
         "event=statistics term={} jobs={} pending_tasks={} machines={} usable={} quarantined={}"
             + " avoided={} available_cpus={} stages={} stopping={} start_ms_p50={} start_ms_p99={}"
-            + " pass_us_p50={} pass_us_p99={} {} {}",
+            + " pass_us_p50={} pass_us_p99={} {} token_increments={} {}",
         leadership.term(),
         jobs.size(),
         jobs.all().stream().mapToInt(Job::pendingTasks).sum(),
@@ -83,6 +83,7 @@
         passMicros.getValueAtPercentile(50),
         passMicros.getValueAtPercentile(99),
         decisionLog.takeCounts(),
+        inventory.all().stream().mapToLong(machine -> machine.fencing().increments()).sum(),
         gangs.logFields());
   }
 
--- a/src/test/java/io/pearscale/scheduler/model/DecisionLogTest.java
+++ b/src/test/java/io/pearscale/scheduler/model/DecisionLogTest.java
@@ -26,20 +26,29 @@
           Instant.EPOCH);
 
   @Test
-  void countsStartsAndProofsUntilTaken() {
-    log.recordStartsSent(
+  void countsStartsProofsAndOutcomesUntilTaken() {
+    log.recordCommandsSent(
         machine,
+        5,
         List.of(
             AgentCommand.start(TASK, 1),
             AgentCommand.forget(TASK, 0),
             AgentCommand.start(new TaskId("wk-1", 1), 2)),
         Channel.COMMAND);
-    log.recordStartsSent(machine, List.of(AgentCommand.start(TASK, 3)), Channel.HEARTBEAT_RESPONSE);
+    log.recordCommandsSent(
+        machine, 6, List.of(AgentCommand.start(TASK, 3)), Channel.HEARTBEAT_RESPONSE);
+    log.recordCommandOutcome(CommandOutcome.EXECUTED);
+    log.recordCommandOutcome(CommandOutcome.UNKNOWN);
+    log.recordCommandOutcome(CommandOutcome.EXECUTED);
     TaskAttempt attempt =
         new TaskAttempt(null, TASK, 1, machine, TaskAttempt.Stage.START_SENT, Instant.EPOCH);
     log.recordAbsenceProved(attempt, AbsenceProof.ENDED);
     log.recordAbsenceProved(attempt, AbsenceProof.LEASE_EXPIRED);
-    assertEquals("starts=[2,1] absences=[0,0,1,0,0,1,0] incarnations=0", log.takeCounts());
-    assertEquals("starts=[0,0] absences=[0,0,0,0,0,0,0] incarnations=0", log.takeCounts());
+    assertEquals(
+        "starts=[2,1] absences=[0,0,1,0,0,1,0] incarnations=0 commands=[2,0,0,1]",
+        log.takeCounts());
+    assertEquals(
+        "starts=[0,0] absences=[0,0,0,0,0,0,0] incarnations=0 commands=[0,0,0,0]",
+        log.takeCounts());
   }
 }
