Settle the fencing token of a message before its starts record it

A start in a heartbeat response that the network held up was taken for void, and the task started elsewhere; then the response arrived in time, with the highest token that the agent had seen, and the task started there too.

Cause: DueCommands.take noted the machine's token for starts that it sends again, and only then incremented it for an ended attempt that the agent is told to forget. The sender read the token once more, so the response left with a token one above the one noted as that of the start. Any message with that token, a direct command or just a probe, may overtake the response; the agent's report then shows a token above the noted one without the task, which AbsenceProver takes as proof that the agent refuses the start.

Of the other hypotheses, a proof from an older report (sequence below the start's), a revert of a refused or unsent call (NOT_EXECUTED) and an agent that takes a late response (held up 3.3 s of 4) show none of it.

Change: CommandBatch is the commands of one message with its token and incarnation. DueCommands settles the token first, above the starts of all attempts to be forgotten, then selects; starts record the batch's token, and the direct call or the response carries it. Nobody reads the token again, so noted and sent can't differ.

Why it works: an agent that shows a token above the recorded one refuses the message with the start, because that message carries the recorded one.

--- a/src/main/java/io/pearscale/scheduler/agents/CommandDispatcher.java
+++ b/src/main/java/io/pearscale/scheduler/agents/CommandDispatcher.java
@@ -49,17 +49,8 @@
    */
   private static final Duration OUTCOME_UNKNOWN_BACKOFF = Duration.ofSeconds(3);
 
-  /**
-   * A direct call in flight.
-   *
-   * @param fencingToken the token that the call carries
-   * @param commands the commands to execute; empty for a probe
-   */
-  private record CommandCall(Machine machine, long fencingToken, List<AgentCommand> commands) {
-    boolean isProbe() {
-      return commands.isEmpty();
-    }
-  }
+  /** A direct call in flight. */
+  private record CommandCall(Machine machine, CommandBatch batch) {}
 
   private final Leadership leadership;
   private final MachineInventory inventory;
@@ -97,7 +88,12 @@
     this.dueCommands = new DueCommands(leadership, state.jobs());
     this.prober =
         new MachineProber(
-            inventory, clock, settings, timings, executor, machine -> send(machine, List.of()));
+            inventory,
+            clock,
+            settings,
+            timings,
+            executor,
+            machine -> send(machine, CommandBatch.withCurrentToken(machine, List.of())));
   }
 
   /** Returns the prober that sends its probes through this dispatcher. */
@@ -134,21 +130,24 @@
         || !DueCommands.needDirectCommand(machine)) {
       return;
     }
-    List<AgentCommand> commands =
+    CommandBatch batch =
         dueCommands.take(machine, /* inHeartbeatResponse= */ false, clock.instant());
-    if (!commands.isEmpty()) {
-      decisions.recordCommandsSent(machine, machine.fencing().current(), commands, Channel.COMMAND);
-      send(machine, commands);
+    if (!batch.commands().isEmpty()) {
+      recordSent(machine, batch, Channel.COMMAND);
+      send(machine, batch);
     }
   }
 
   /** Returns the due commands of a reconciled machine, for the response to its heartbeat. */
-  List<AgentCommand> commandsForHeartbeatResponse(Machine machine) {
-    List<AgentCommand> commands =
+  CommandBatch commandsForHeartbeatResponse(Machine machine) {
+    CommandBatch batch =
         dueCommands.take(machine, /* inHeartbeatResponse= */ true, clock.instant());
-    decisions.recordCommandsSent(
-        machine, machine.fencing().current(), commands, Channel.HEARTBEAT_RESPONSE);
-    return commands;
+    recordSent(machine, batch, Channel.HEARTBEAT_RESPONSE);
+    return batch;
+  }
+
+  private void recordSent(Machine machine, CommandBatch batch, Channel channel) {
+    decisions.recordCommandsSent(machine, batch.fencingToken(), batch.commands(), channel);
   }
 
   private boolean maySendDirectCommand(Machine machine) {
@@ -161,18 +160,16 @@
         && !clock.instant().isBefore(machine.reachability().directCommandsAfter());
   }
 
-  private void send(Machine machine, List<AgentCommand> commands) {
-    CommandRequest request =
-        new CommandRequest(machine.fencing().current(), machine.lease().incarnation(), commands);
-    CommandCall call = new CommandCall(machine, request.fencingToken(), commands);
+  private void send(Machine machine, CommandBatch batch) {
     machine.reachability().commandSent();
-    Duration timeout = call.isProbe() ? PROBE_TIMEOUT : COMMAND_TIMEOUT;
+    CommandCall call = new CommandCall(machine, batch);
+    Duration timeout = batch.isProbe() ? PROBE_TIMEOUT : COMMAND_TIMEOUT;
     Consumer<Reply> handler = executor.callback(reply -> handleReply(call, reply));
     httpClient.call(
         machine.address(),
         CommandRequest.METHOD,
         CommandRequest.PATH,
-        request.toNode(),
+        batch.toRequest().toNode(),
         timeout,
         handler);
   }
@@ -182,7 +179,7 @@
   private void handleReply(CommandCall call, Reply reply) {
     Machine machine = call.machine;
     machine.reachability().commandEnded();
-    if (call.isProbe()) {
+    if (call.batch.isProbe()) {
       prober.probeEnded();
     }
     prober.continueProbing();
@@ -201,7 +198,7 @@
       // retries.
       revertUnexecuted(call);
       machine.reachability().pauseDirectCommandsUntil(clock.instant().plus(INITIAL_BACKOFF));
-    } else if (call.isProbe()) {
+    } else if (call.batch.isProbe()) {
       recordMissedProbe(machine);
     } else {
       recordUnknownOutcome(call);
@@ -209,7 +206,7 @@
   }
 
   private void recordOutcome(CommandCall call, CommandOutcome outcome) {
-    if (!call.isProbe()) {
+    if (!call.batch.isProbe()) {
       decisions.recordCommandOutcome(outcome);
     }
   }
@@ -231,13 +228,13 @@
    */
   private void recordUnknownOutcome(CommandCall call) {
     Machine machine = call.machine;
-    machine.fencing().commandOutcomeUnknown(call.fencingToken);
+    machine.fencing().commandOutcomeUnknown(call.batch.fencingToken());
     machine.reachability().pauseDirectCommandsUntil(clock.instant().plus(OUTCOME_UNKNOWN_BACKOFF));
     LOG.info(
         "event=command_outcome_unknown term={} machine={} token={}",
         leadership.term(),
         machine.name(),
-        call.fencingToken);
+        call.batch.fencingToken());
   }
 
   /**
@@ -286,7 +283,7 @@
    * resent with another token.
    */
   private void revertUnexecuted(CommandCall call) {
-    for (AgentCommand command : call.commands) {
+    for (AgentCommand command : call.batch.commands()) {
       TaskAttempt attempt = call.machine.attempts().get(command.task());
       if (attempt == null || attempt.number() != command.attempt()) {
         continue;
@@ -295,7 +292,7 @@
         attempt.resetStopsSent();
       } else if (command.verb() == AgentCommand.Verb.START
           && !attempt.observed()
-          && attempt.startToken() == call.fencingToken) {
+          && attempt.startToken() == call.batch.fencingToken()) {
         revertStart(attempt);
       }
     }
--- a/src/main/java/io/pearscale/scheduler/agents/DueCommands.java
+++ b/src/main/java/io/pearscale/scheduler/agents/DueCommands.java
@@ -12,6 +12,7 @@
 import io.pearscale.scheduler.model.TaskAttempt;
 import io.pearscale.scheduler.model.TaskAttempt.Stage;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -21,7 +22,8 @@
  * Selects the commands that are due for an agent: stops, starts of attempts whose placement records
  * are durable and whose resources are available, and ended attempts that the agent may forget. It
  * does not send them. Returned commands count as sent: attempts are updated, and the machine's
- * fencing token is incremented if a command requires a higher one.
+ * fencing token is incremented if a command requires a higher one. The token is settled before any
+ * command is selected, since every start records it.
  */
 final class DueCommands {
   private final Leadership leadership;
@@ -33,20 +35,21 @@
   }
 
   /**
-   * Returns all commands to send to the agent now, in the order of execution.
+   * Returns all commands to send to the agent now, with the token under which they must be sent.
    *
    * @param inHeartbeatResponse whether the commands are part of a heartbeat response, which renews
    *     the machine's lease
    */
-  List<AgentCommand> take(Machine machine, boolean inHeartbeatResponse, Instant now) {
+  CommandBatch take(Machine machine, boolean inHeartbeatResponse, Instant now) {
+    Set<AttemptId> forgettable = forgettableAttempts(machine);
+    long token = settleToken(machine, forgettable);
     List<AgentCommand> commands = StopCommands.due(machine, inHeartbeatResponse, now);
     if (inHeartbeatResponse) {
-      resendLostStarts(machine, commands);
+      resendLostStarts(machine, token, commands);
     }
-    Set<AttemptId> forgotten = takeForgettable(machine);
-    forgotten.forEach(ended -> commands.add(AgentCommand.forget(ended.task(), ended.attempt())));
-    addStarts(machine, forgotten, commands);
-    return commands;
+    forgettable.forEach(ended -> commands.add(AgentCommand.forget(ended.task(), ended.attempt())));
+    addStarts(machine, token, forgettable, commands);
+    return new CommandBatch(token, machine.lease().incarnation(), commands);
   }
 
   /** Returns whether a due command should be sent directly, not just in a heartbeat response. */
@@ -74,7 +77,7 @@
    * Adds starts that were sent but are presumed lost. An agent ignores a start of an attempt that
    * it knows, so a delayed start cannot make the same attempt run twice.
    */
-  private void resendLostStarts(Machine machine, List<AgentCommand> commands) {
+  private void resendLostStarts(Machine machine, long token, List<AgentCommand> commands) {
     for (TaskAttempt attempt : machine.attempts().values()) {
       boolean presumedLost =
           attempt.stage() == Stage.START_SENT
@@ -82,7 +85,7 @@
               && !attempt.stopping()
               && !machine.reachability().commandInFlight();
       if (presumedLost && leadership.mayStartTasks()) {
-        attempt.recordStartResent(machine.fencing().current(), machine.lease().incarnation());
+        attempt.recordStartResent(token, machine.lease().incarnation());
         commands.add(AgentCommand.start(attempt.task(), attempt.number()));
       }
     }
@@ -97,28 +100,37 @@
    * than any start of the attempt, and the agent refuses those starts from then on. A completed
    * attempt needs no higher token: even if it is started again, its task stays completed.
    */
-  private Set<AttemptId> takeForgettable(Machine machine) {
+  private Set<AttemptId> forgettableAttempts(Machine machine) {
     Set<AttemptId> forgettable = new LinkedHashSet<>();
     for (Map.Entry<AttemptId, Long> entry : machine.reportedAttempts().ended().entrySet()) {
       AttemptId attempt = entry.getKey();
-      long highestStartToken = entry.getValue();
+      boolean completed = entry.getValue() < 0;
       if (isCompletionNotDurable(attempt)) {
         continue;
       }
-      boolean completed = highestStartToken < 0;
       boolean startMayBeInFlight =
           machine.reachability().commandInFlight() || machine.fencing().isCommandOutcomeUnknown();
       if (completed && startMayBeInFlight) {
         continue;
       }
-      if (machine.fencing().current() <= highestStartToken) {
-        machine.fencing().increment();
-      }
       forgettable.add(attempt);
     }
     return forgettable;
   }
 
+  /**
+   * Returns the token of the next message: the current one, or an incremented one if an attempt to
+   * be forgotten requires it.
+   */
+  private static long settleToken(Machine machine, Set<AttemptId> forgettable) {
+    Map<AttemptId, Long> startTokens = machine.reportedAttempts().ended();
+    return forgettable.stream()
+        .map(startTokens::get)
+        .max(Comparator.naturalOrder())
+        .map(machine.fencing()::raiseAbove)
+        .orElse(machine.fencing().current());
+  }
+
   /** Returns whether the completion of the task is durable only on the agent so far. */
   private boolean isCompletionNotDurable(AttemptId attempt) {
     Job job = jobs.get(attempt.task().job());
@@ -127,7 +139,8 @@
   }
 
   /** Adds starts of planned attempts for which the machine has available resources. */
-  private void addStarts(Machine machine, Set<AttemptId> forgotten, List<AgentCommand> commands) {
+  private void addStarts(
+      Machine machine, long token, Set<AttemptId> forgotten, List<AgentCommand> commands) {
     if (!mayStartOn(machine)) {
       return;
     }
@@ -143,7 +156,7 @@
         continue;
       }
       available.subtract(attempt.spec());
-      attempt.recordStartSent(machine.fencing().current(), machine.lease().incarnation());
+      attempt.recordStartSent(token, machine.lease().incarnation());
       commands.add(AgentCommand.start(attempt.task(), attempt.number()));
     }
   }
--- a/src/main/java/io/pearscale/scheduler/agents/HeartbeatHandler.java
+++ b/src/main/java/io/pearscale/scheduler/agents/HeartbeatHandler.java
@@ -1,6 +1,5 @@
 package io.pearscale.scheduler.agents;
 
-import io.pearscale.protocol.AgentCommand;
 import io.pearscale.protocol.Heartbeat;
 import io.pearscale.protocol.HeartbeatResponse;
 import io.pearscale.protocol.MachineType;
@@ -77,21 +76,22 @@
     processor.process(machine, heartbeat, reachable);
     machine.reachability().heartbeatAccepted();
     machine.lease().renew(clock.instant());
-    List<AgentCommand> commands = commandsForResponse(machine, heartbeat);
+    CommandBatch batch = batchForResponse(machine, heartbeat);
     dispatcher.sendDueCommands(machine);
-    machine.fencing().responseSent(relay);
-    return new HeartbeatResponse(200, machine.fencing().current(), commands);
+    machine.fencing().responseSent(batch.fencingToken(), relay);
+    return new HeartbeatResponse(200, batch.fencingToken(), batch.commands());
   }
 
   /** Returns the commands for a response, which renews the machine's lease for all its tasks. */
-  private List<AgentCommand> commandsForResponse(Machine machine, Heartbeat heartbeat) {
+  private CommandBatch batchForResponse(Machine machine, Heartbeat heartbeat) {
     if (heartbeat.fencingToken() > machine.fencing().current()) {
       // The agent discards a response with a lower token, so the lease is not renewed.
-      return List.of();
+      return CommandBatch.withCurrentToken(machine, List.of());
     }
     return machine.reconciled()
         ? dispatcher.commandsForHeartbeatResponse(machine)
-        : StopCommands.forUnreconciled(heartbeat, jobs::isLive);
+        : CommandBatch.withCurrentToken(
+            machine, StopCommands.forUnreconciled(heartbeat, jobs::isLive));
   }
 
   private Machine findOrAddMachine(Heartbeat heartbeat) {
--- a/src/main/java/io/pearscale/scheduler/model/FencingTokens.java
+++ b/src/main/java/io/pearscale/scheduler/model/FencingTokens.java
@@ -48,6 +48,17 @@
     return current - first;
   }
 
+  /**
+   * Returns the current token, incremented first if it is not above the given one. Once the machine
+   * reports the result, it executes no command with the given token.
+   */
+  public long raiseAbove(long token) {
+    if (current <= token) {
+      increment();
+    }
+    return current;
+  }
+
   /**
    * Increments the token. Once the machine reports the new token, it executes no command with an
    * older one.
@@ -76,10 +87,10 @@
     return unknownOutcomeToken >= observed;
   }
 
-  /** Records that a heartbeat was answered with the current token through the given controller. */
-  public void responseSent(String controller) {
+  /** Records that a heartbeat was answered with the given token through the given controller. */
+  public void responseSent(long token, String controller) {
     lastResponseController = controller;
-    lastResponseToken = current;
+    lastResponseToken = token;
   }
 
   /**
@@ -101,9 +112,7 @@
     if (lastResponseController.isEmpty() || lastResponseController.equals(controller)) {
       return true;
     }
-    if (current <= token) {
-      increment();
-    }
+    raiseAbove(token);
     return false;
   }
 }
--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -542,6 +542,16 @@
             ? Optional.empty()
             : Optional.of("the task was started");
       }
+      case "attempts" -> {
+        long actual =
+            startedAttempts.stream()
+                .filter(g -> g.startsWith(words.get(1) + ":"))
+                .distinct()
+                .count();
+        return actual == Long.parseLong(words.get(2))
+            ? Optional.empty()
+            : Optional.of("attempts of the task: " + actual);
+      }
       case "attempts-unique" -> {
         return startedAttempts.size() == new TreeSet<>(startedAttempts).size()
             ? Optional.empty()
