Give the simulated network a class of its own

The network and its faults are SimNetwork now; a start is checked rule by rule; the sum of a team's CPUs stood twice. No behaviour of the simulation changes: the golden digests of all scenarios are the same; ScenarioTest, LeaderScriptTest, SizeTest and CancelRunsTest pass.

--- a/src/test/java/io/pearscale/sim/LoopbackCluster.java
+++ b/src/test/java/io/pearscale/sim/LoopbackCluster.java
@@ -120,7 +120,7 @@
         bytes.length == 0 ? MessagePack.MISSING : MessagePack.decode(bytes).orElseThrow();
     String query = exchange.getQueryString();
     String path = exchange.getRequestPath() + (query.isEmpty() ? "" : "?" + query);
-    cluster.serve(
+    cluster.network.serve(
         from,
         to,
         exchange.getRequestMethod().toString(),
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -272,19 +272,22 @@
               .forEach(n -> n.freeze(parseSeconds(words.get(2)), words.contains("before-send")));
       case "start" -> resolveControllers(words.get(1)).forEach(SimController::start);
       case "cut" ->
-          cluster.partitions.partition(
+          cluster.network.partitions.partition(
               resolveName(words.get(1)), resolveName(words.get(2)), words.contains("hold"));
       case "heal" ->
-          cluster.partitions.heal(
-              resolveName(words.get(1)), resolveName(words.get(2)), cluster::deliverWithLatency);
+          cluster.network.partitions.heal(
+              resolveName(words.get(1)),
+              resolveName(words.get(2)),
+              cluster.network::deliverWithLatency);
       case "isolate-zone" ->
-          cluster.partitions.isolateZone(
+          cluster.network.partitions.isolateZone(
               words.get(1),
               words.stream().skip(2).filter(w -> !w.equals("hold")).map(this::resolveName).toList(),
               words.contains("hold"));
-      case "rejoin-zone" -> cluster.partitions.rejoinZone(cluster::deliverWithLatency);
+      case "rejoin-zone" ->
+          cluster.network.partitions.rejoinZone(cluster.network::deliverWithLatency);
       case "copy-heartbeats-for-next-leader" ->
-          cluster.lateHeartbeats.copyHeartbeatsOf(words.get(1), parseSeconds(words.get(2)));
+          cluster.network.lateHeartbeats.copyHeartbeatsOf(words.get(1), parseSeconds(words.get(2)));
       case "down" -> {
         if (words.get(1).equals("state")) {
           cluster.store.down = true;
@@ -300,30 +303,31 @@
         }
       }
       case "peer-connections" -> {
-        cluster.peerConnectionsRefused = words.get(1).equals("refused");
-        if (cluster.peerConnectionsRefused) {
+        cluster.network.peerConnectionsRefused = words.get(1).equals("refused");
+        if (cluster.network.peerConnectionsRefused) {
           cluster.controllers.values().forEach(SimController::refuseLinks);
         }
       }
       case "reboot" -> findAgent(words.get(1)).ifPresent(SimAgent::reboot);
       case "cut-agent-to-controller" ->
-          cluster.agentToControllerPathDown.add(resolveName(words.get(1)));
+          cluster.network.agentToControllerPathDown.add(resolveName(words.get(1)));
       case "heal-agent-to-controller" ->
-          cluster.agentToControllerPathDown.remove(resolveName(words.get(1)));
+          cluster.network.agentToControllerPathDown.remove(resolveName(words.get(1)));
       case "cut-controller-to-agent" ->
-          cluster.controllerToAgentPathDown.add(resolveName(words.get(1)));
+          cluster.network.controllerToAgentPathDown.add(resolveName(words.get(1)));
       case "heal-controller-to-agent" ->
-          cluster.controllerToAgentPathDown.remove(resolveName(words.get(1)));
+          cluster.network.controllerToAgentPathDown.remove(resolveName(words.get(1)));
       case "duplicate-heartbeats" -> {
-        cluster.duplicatedHeartbeats.put(resolveName(words.get(1)), Integer.parseInt(words.get(2)));
-        cluster.duplicateDelay = parseSeconds(words.get(3));
+        cluster.network.duplicatedHeartbeats.put(
+            resolveName(words.get(1)), Integer.parseInt(words.get(2)));
+        cluster.network.duplicateDelay = parseSeconds(words.get(3));
       }
       case "refuse-store-client" -> cluster.store.refusedClients.add(resolveName(words.get(1)));
       case "accept-store-client" -> cluster.store.refusedClients.remove(resolveName(words.get(1)));
       case "query-burst" ->
           scheduleQueries(Integer.parseInt(words.get(1)), parseSeconds(words.get(2)));
       case "store-latency" -> cluster.store.extraLatency = parseSeconds(words.get(1));
-      case "network-latency" -> cluster.extraLatency = parseSeconds(words.get(1));
+      case "network-latency" -> cluster.network.extraLatency = parseSeconds(words.get(1));
       case "processing-time" ->
           resolveControllers(words.get(1))
               .forEach(n -> n.processingTime = parseSeconds(words.get(2)));
@@ -366,14 +370,15 @@
       case "repair-record" -> cluster.store.repair(words.get(1));
       case "discard-store-history" -> cluster.store.discardHistory();
       case "lose-heartbeat-responses" ->
-          cluster.lostResponseShare = Double.parseDouble(words.get(1));
-      case "lose-commands" -> cluster.lostCommandShare = Double.parseDouble(words.get(1));
+          cluster.network.lostResponseShare = Double.parseDouble(words.get(1));
+      case "lose-commands" -> cluster.network.lostCommandShare = Double.parseDouble(words.get(1));
       case "ignore-stops" -> cluster.agents.get(resolveName(words.get(1))).ignoresStops = true;
       case "cancel-at-end" -> cluster.cancelledAtEnd.add(words.get(1));
-      case "leave-commands-unsent" -> cluster.unsentCommands = Integer.parseInt(words.get(1));
+      case "leave-commands-unsent" ->
+          cluster.network.unsentCommands = Integer.parseInt(words.get(1));
       case "delay-commands" -> {
-        cluster.delayedCommands = Integer.parseInt(words.get(1));
-        cluster.commandDelay = parseSeconds(words.get(2));
+        cluster.network.delayedCommands = Integer.parseInt(words.get(1));
+        cluster.network.commandDelay = parseSeconds(words.get(2));
       }
       case "delay-commits" -> {
         cluster.store.lateCommits = Integer.parseInt(words.get(1));
@@ -527,7 +532,7 @@
     } else if (words.get(0).equals("state-requests")) {
       met = cluster.store.requests <= Long.parseLong(words.get(2));
     } else if (words.get(0).equals("commands")) {
-      met = cluster.directCommands <= Long.parseLong(words.get(2));
+      met = cluster.network.directCommands <= Long.parseLong(words.get(2));
     } else if (words.get(0).equals("done-task-restarts")) {
       met = cluster.startsOfDoneTasks <= Integer.parseInt(words.get(2));
     } else if (words.get(0).equals("level")) {
--- a/src/test/java/io/pearscale/sim/SimAgent.java
+++ b/src/test/java/io/pearscale/sim/SimAgent.java
@@ -293,7 +293,7 @@
           lastHeartbeat = sentAt;
           long sentIncarnation = incarnation;
           String controller = List.copyOf(cluster.controllers.keySet()).get(controllerIndex);
-          cluster.request(
+          cluster.network.request(
               name,
               controller,
               "POST",
@@ -313,7 +313,7 @@
         boolean higherToken = responseToken > fencingToken;
         fencingToken = responseToken;
         leaseStart = sentAt;
-        cluster.lateHeartbeats.responseReceived(fencingToken);
+        cluster.network.lateHeartbeats.responseReceived(fencingToken);
         reply.body().path("orders").forEach(this::execute);
         if (higherToken) {
           requestHeartbeat();
--- a/src/test/java/io/pearscale/sim/SimController.java
+++ b/src/test/java/io/pearscale/sim/SimController.java
@@ -116,7 +116,7 @@
         Consumer<Reply> answer) {
       sendOrDefer(
           () ->
-              cluster.request(
+              cluster.network.request(
                   name,
                   address,
                   method,
@@ -132,13 +132,14 @@
 
     @Override
     public boolean send(String peer, byte[] frame) {
-      if (cluster.peerConnectionsRefused) {
+      if (cluster.network.peerConnectionsRefused) {
         return false;
       }
       SimController to = cluster.controllers.get(peer);
-      cluster.peerRecords++;
+      cluster.network.peerRecords++;
       cluster.wireRecorder.ifPresent(recorder -> recorder.record(name, peer, frame));
-      sendOrDefer(() -> cluster.deliver(name, peer, () -> to.receivePeerRecord(name, frame)));
+      sendOrDefer(
+          () -> cluster.network.deliver(name, peer, () -> to.receivePeerRecord(name, frame)));
       return true;
     }
 
@@ -147,7 +148,8 @@
       Set<String> up = new LinkedHashSet<>();
       lastReceivedAt.forEach(
           (peer, at) -> {
-            if (!cluster.peerConnectionsRefused && at.isAfter(cluster.now.minusSeconds(3))) {
+            if (!cluster.network.peerConnectionsRefused
+                && at.isAfter(cluster.now.minusSeconds(3))) {
               up.add(peer);
             }
           });
@@ -290,7 +292,7 @@
     // The sockets close and the peers' attempts to reconnect are refused.
     for (SimController peer : cluster.controllers.values()) {
       if (peer != this) {
-        cluster.deliver(
+        cluster.network.deliver(
             name,
             peer.name,
             () -> {
--- a/src/test/java/io/pearscale/sim/SimUser.java
+++ b/src/test/java/io/pearscale/sim/SimUser.java
@@ -119,7 +119,8 @@
     if (node.isEmpty()) {
       cluster.after(Duration.ofMillis(100), () -> answer.accept(Reply.NO_RESPONSE));
     } else {
-      cluster.request("user", node.get().name, method, path, body, Duration.ofSeconds(4), answer);
+      cluster.network.request(
+          "user", node.get().name, method, path, body, Duration.ofSeconds(4), answer);
     }
   }
 
--- a/src/test/java/io/pearscale/sim/SimulatedCluster.java
+++ b/src/test/java/io/pearscale/sim/SimulatedCluster.java
@@ -1,12 +1,10 @@
 package io.pearscale.sim;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pearscale.protocol.JobSpec;
 import io.pearscale.protocol.Settings;
 import io.pearscale.protocol.TaskId;
 import io.pearscale.scheduler.OperatorSettings;
-import io.pearscale.transport.HttpClient.Reply;
 import io.pearscale.transport.MessagePack;
 import io.pearscale.upgrade.Feature;
 import java.net.InetSocketAddress;
@@ -22,7 +20,6 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
@@ -47,12 +44,6 @@
   final RandomGenerator random;
   final List<String> violations = new ArrayList<>();
 
-  /** Records sent between controllers. */
-  long peerRecords;
-
-  /** Command requests that controllers sent directly to agents. */
-  long directCommands;
-
   /** Job queries sent by {@code query-burst}. */
   int burstQueries;
 
@@ -76,6 +67,7 @@
   final SimKeyValueStore store = new SimKeyValueStore(this);
   final SimCloud cloud = new SimCloud(this);
   final SimGangRendezvous gangs = new SimGangRendezvous(this);
+  final SimNetwork network = new SimNetwork(this);
   final Map<String, SimController> controllers = new LinkedHashMap<>();
   final Map<String, SimAgent> agents = new TreeMap<>();
   final Map<String, SimUser> users = new LinkedHashMap<>();
@@ -123,47 +115,9 @@
   final List<Settings.Team> teams = new ArrayList<>();
   final List<Settings.ServiceLevelObjective> objectives = new ArrayList<>();
 
-  // Injected network faults.
-  boolean peerConnectionsRefused;
-
-  /** Added to the latency of every message. */
-  Duration extraLatency = Duration.ZERO;
-
-  /** Machines with a controller-to-agent partition: only their own messages are delivered. */
-  final Set<String> controllerToAgentPathDown = new HashSet<>();
-
-  /** Machines with an agent-to-controller partition: they can only respond to requests. */
-  final Set<String> agentToControllerPathDown = new HashSet<>();
-
-  /** How many of a machine's next heartbeats are delivered twice. */
-  final Map<String, Integer> duplicatedHeartbeats = new HashMap<>();
-
-  /** Delay of the second delivery of a duplicated heartbeat. */
-  Duration duplicateDelay = Duration.ZERO;
-
-  /** How many of the next direct command requests fail before they are sent. */
-  int unsentCommands;
-
-  /** How many of the next direct command requests are delayed and lose their responses. */
-  int delayedCommands;
-
-  Duration commandDelay = Duration.ZERO;
-
-  /** Probability that the response to a heartbeat is lost on its way to the machine. */
-  double lostResponseShare;
-
-  /**
-   * Probability that a direct command request fails: for one half of it the request is lost, for
-   * the other half the agent executes the commands and the response is lost.
-   */
-  double lostCommandShare;
-
   /** Jobs that their users cancel at the moment at which the last task ends. */
   final Set<String> cancelledAtEnd = new HashSet<>();
 
-  final NetworkPartitions partitions = new NetworkPartitions(this::zoneOfMachine);
-  final LateHeartbeats lateHeartbeats = new LateHeartbeats(this::deliverLateHeartbeat);
-
   SimulatedCluster(long seed) {
     random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
   }
@@ -203,116 +157,6 @@
     trace("VIOLATION " + rule + " " + detail);
   }
 
-  // ---- Network ----
-
-  private Optional<String> zoneOfMachine(String host) {
-    return Optional.ofNullable(agents.get(host)).map(agent -> agent.zone);
-  }
-
-  private Duration latency() {
-    return Duration.ofMillis(1 + random.nextInt(4)).plus(extraLatency);
-  }
-
-  /** Delivers a message; a partition loses or buffers it. */
-  void deliver(String from, String to, Runnable deliver) {
-    if (controllerToAgentPathDown.contains(to)) {
-      return;
-    }
-    if (partitions.separates(from, to)) {
-      partitions.intercept(from, to, deliver);
-      return;
-    }
-    deliverWithLatency(deliver);
-  }
-
-  /** Delivers a message after the latency of the network. */
-  void deliverWithLatency(Runnable message) {
-    after(latency(), message);
-  }
-
-  /** Sends a request and its response over the network, with the injected faults. */
-  void request(
-      String from,
-      String to,
-      String method,
-      String path,
-      JsonNode body,
-      Duration timeout,
-      Consumer<Reply> answer) {
-    boolean[] answered = {false};
-    wireRecorder.ifPresent(recorder -> recorder.request(from, to, method, path, body));
-    Consumer<Reply> once =
-        r -> {
-          if (!answered[0]) {
-            answered[0] = true;
-            wireRecorder.ifPresent(recorder -> recorder.response(from, to, method, path, r));
-            answer.accept(r);
-          }
-        };
-    after(timeout, () -> once.accept(Reply.NO_RESPONSE));
-    if (agentToControllerPathDown.contains(from)) {
-      return;
-    }
-    JsonNode copy = body.deepCopy();
-    if (path.equals("/checkin") && !partitions.separates(from, to)) {
-      lateHeartbeats.heartbeatSent(from, copy);
-    }
-    if (path.equals("/do") && unsentCommands > 0) {
-      unsentCommands--;
-      after(Duration.ZERO, () -> once.accept(Reply.NOT_SENT));
-      return;
-    }
-    directCommands += path.equals("/do") ? 1 : 0;
-    if (duplicatedHeartbeats.getOrDefault(from, 0) > 0) {
-      duplicatedHeartbeats.merge(from, -1, Integer::sum);
-      String receiver = randomRunningController().map(n -> n.name).orElse(to);
-      after(duplicateDelay, () -> serve(from, receiver, method, path, copy, r -> {}));
-    }
-    if (path.equals("/do") && delayedCommands > 0) {
-      delayedCommands--;
-      after(commandDelay, () -> serve(from, to, method, path, copy, r -> {}));
-      return;
-    }
-    boolean requestLost = path.equals("/do") && drawFault(lostCommandShare / 2);
-    boolean answerLost =
-        (path.equals("/do") && drawFault(lostCommandShare / 2))
-            || (path.equals("/checkin") && drawFault(lostResponseShare));
-    if (requestLost) {
-      return;
-    }
-    Consumer<Reply> onReply =
-        answerLost ? reply -> {} : reply -> deliver(to, from, () -> once.accept(reply));
-    deliver(from, to, () -> serve(from, to, method, path, copy, onReply));
-  }
-
-  /** Delivers a late copy of a heartbeat to a controller outside the isolated zone. */
-  private void deliverLateHeartbeat(String machine, JsonNode heartbeat, Duration delay) {
-    List<String> receivers =
-        controllers.keySet().stream().filter(name -> !partitions.isIsolated(name)).toList();
-    String receiver = receivers.get(random.nextInt(receivers.size()));
-    trace("late copy of a heartbeat of " + machine + " to " + receiver);
-    after(delay, () -> serve(machine, receiver, "POST", "/checkin", heartbeat, reply -> {}));
-  }
-
-  /** Draws a random number only if the fault is enabled, so that other scenarios do not change. */
-  private boolean drawFault(double probability) {
-    return probability > 0 && random.nextDouble() < probability;
-  }
-
-  /** Passes a request to the simulated host that it is addressed to. */
-  void serve(
-      String from, String to, String method, String path, JsonNode body, Consumer<Reply> answer) {
-    if (to.equals("state")) {
-      store.handleRequest(from, method, path, body, answer);
-    } else if (to.equals("cloud")) {
-      cloud.handleRequest(method, path, body, answer);
-    } else if (controllers.containsKey(to)) {
-      controllers.get(to).handleRequest(from, method, path, body, answer);
-    } else if (agents.containsKey(to)) {
-      agents.get(to).handleRequest(method, path, body, answer);
-    }
-  }
-
   // ---- Settings ----
 
   Settings settings(String host) {
@@ -369,7 +213,22 @@
   /** Number of task starts of each job. */
   final Map<String, Integer> starts = new HashMap<>();
 
+  /** Checks and records the start of a task. */
   void taskStarted(SimAgent agent, TaskId task, long attempt) {
+    checkStart(agent, task);
+    JobSpec spec = submitted.get(task.job());
+    starts.merge(task.job(), 1, Integer::sum);
+    if (spec.isGang()) {
+      gangChecker().taskArrived(spec, task, attempt, agent.name, agent.zone, now);
+    } else {
+      firstStarts.putIfAbsent(task.job(), now);
+    }
+    runningTasks.add(new RunningTask(agent, task, attempt));
+    disruptionChecker.taskStarted(task);
+  }
+
+  /** Checks the invariants that a start of the task on the machine could violate. */
+  private void checkStart(SimAgent agent, TaskId task) {
     JobSpec spec = submitted.get(task.job());
     for (RunningTask running : runningTasks) {
       if (running.task.equals(task)) {
@@ -377,53 +236,70 @@
             "ran_twice", task + " on " + agent.name + " while on " + running.agent.name);
       }
     }
+    checkPlacement(agent, task, spec);
+    checkTeamLimit(spec);
+    checkNotCancelled(agent, task);
+  }
+
+  private void checkPlacement(SimAgent agent, TaskId task, JobSpec spec) {
     if (!spec.allows(agent.type, agent.zone, agent.spot)) {
       reportViolation("wrong_place", task + " on " + agent.name);
     }
     int inZone = 0;
-    double cpus = spec.cpus();
     for (RunningTask running : runningTasks) {
-      JobSpec other = submitted.get(running.task.job());
-      if (running.task.job().equals(task.job())) {
-        if (running.agent.zone.equals(agent.zone)) {
-          inZone++;
-        } else if (spec.singleZone()) {
-          reportViolation(
-              "wrong_place", task + " in " + agent.zone + ", other tasks in " + running.agent.zone);
-        }
+      if (!running.task.job().equals(task.job())) {
+        continue;
       }
-      if (other.team().equals(spec.team())) {
-        cpus += other.cpus();
+      if (running.agent.zone.equals(agent.zone)) {
+        inZone++;
+      } else if (spec.singleZone()) {
+        reportViolation(
+            "wrong_place", task + " in " + agent.zone + ", other tasks in " + running.agent.zone);
       }
     }
     if (spec.spreadAcrossZones() && inZone + 1 > (spec.tasks() + 1) / 2) {
       reportViolation(
           "wrong_place", task + " puts more than half of the tasks in zone " + agent.zone);
     }
-    for (Settings.Team team : teams) {
-      if (team.name().equals(spec.team()) && team.cpuLimit() > 0 && cpus > team.cpuLimit() + 1e-6) {
-        reportViolation("quota", team.name() + " uses " + cpus);
-      }
+  }
+
+  private void checkTeamLimit(JobSpec spec) {
+    double cpus = cpusWithOneMore(spec);
+    if (exceedsTeamLimit(spec, cpus)) {
+      reportViolation("quota", spec.team() + " uses " + cpus);
+    }
+  }
+
+  /** Returns the CPUs that the team of the job uses when one more task of the job runs. */
+  private double cpusWithOneMore(JobSpec spec) {
+    double cpus = spec.cpus();
+    for (RunningTask running : runningTasks) {
+      JobSpec other = submitted.get(running.task.job());
+      cpus += other.team().equals(spec.team()) ? other.cpus() : 0;
     }
+    return cpus;
+  }
+
+  private boolean exceedsTeamLimit(JobSpec spec, double cpus) {
+    return teams.stream()
+        .anyMatch(
+            team ->
+                team.name().equals(spec.team())
+                    && team.cpuLimit() > 0
+                    && cpus > team.cpuLimit() + 1e-6);
+  }
+
+  private void checkNotCancelled(SimAgent agent, TaskId task) {
     SimUser user = users.get(task.job());
-    if (user != null
-        && user.cancelledAt != null
-        && now.isAfter(user.cancelledAt.plus(cancelTimeout))) {
+    if (user == null || user.cancelledAt == null) {
+      return;
+    }
+    if (now.isAfter(user.cancelledAt.plus(cancelTimeout))) {
       reportViolation("ran_cancelled", task + " started");
     }
-    if (user != null
-        && user.cancelledAt != null
-        && now.isAfter(user.cancelledAt.plus(cancelledStartTolerance()))) {
+    if (now.isAfter(user.cancelledAt.plus(cancelledStartTolerance()))) {
       reportViolation("started_cancelled", task + " on " + agent.name);
     }
-    starts.merge(task.job(), 1, Integer::sum);
-    if (spec.isGang()) {
-      gangChecker().taskArrived(spec, task, attempt, agent.name, agent.zone, now);
-    } else {
-      firstStarts.putIfAbsent(task.job(), now);
-    }
-    runningTasks.add(new RunningTask(agent, task, attempt));
-    disruptionChecker.taskStarted(task);
   }
 
   /**
@@ -535,18 +411,7 @@
   }
 
   private boolean underTeamLimit(JobSpec spec) {
-    double runningCpus = spec.cpus();
-    for (RunningTask running : runningTasks) {
-      JobSpec other = submitted.get(running.task.job());
-      runningCpus += other.team().equals(spec.team()) ? other.cpus() : 0;
-    }
-    double requiredCpus = runningCpus;
-    return teams.stream()
-        .noneMatch(
-            t ->
-                t.name().equals(spec.team())
-                    && t.cpuLimit() > 0
-                    && requiredCpus > t.cpuLimit() + 1e-6);
+    return !exceedsTeamLimit(spec, cpusWithOneMore(spec));
   }
 
   /** Checks the time-dependent invariants, and schedules itself again in one second. */
--- a/src/test/java/io/pearscale/sim/SizeTest.java
+++ b/src/test/java/io/pearscale/sim/SizeTest.java
@@ -41,8 +41,8 @@
                 tasks,
                 cluster.store.writes,
                 cluster.store.requests,
-                cluster.peerRecords,
-                cluster.directCommands);
+                cluster.network.peerRecords,
+                cluster.network.directCommands);
     assertTrue(tasks > 10_000, counts);
     // A submission takes one write and the end of a job two; jobs share placement and machine
     // records.
@@ -50,9 +50,9 @@
     assertTrue(cluster.store.requests < 100 * DURATION_SECONDS, counts);
     // Two thirds of all heartbeats are relayed, with one peer record each way; agents send one
     // every 2 s and after each change.
-    assertTrue(cluster.peerRecords < 1400L * DURATION_SECONDS, counts);
+    assertTrue(cluster.network.peerRecords < 1400L * DURATION_SECONDS, counts);
     // A direct command carries everything that a machine has to start or stop at that moment. Each
     // of the two takeovers queries every machine.
-    assertTrue(cluster.directCommands < tasks / 2 + 2 * MACHINES, counts);
+    assertTrue(cluster.network.directCommands < tasks / 2 + 2 * MACHINES, counts);
   }
 }
