Forget completed attempts under a higher token, too

A repeat of the direct command that had started a task, 38 s after its job was cancelled, started it once more.

Cause: DueCommands told an agent to forget a completed attempt without a token above that of its start, as soon as no call was in flight and none of unknown outcome, on the ground that a completed task stays completed and that an answered command is over. After the forget the agent would execute any copy as a new start.

The copy is executed before the takeover of term 2, so the end of the controller is not the cause, and the case's incarnation is 1 throughout, so it is no matter of incarnations.

Change: the highest start token is kept for each ended attempt, however it ended, and what forgets it carries a higher one. Whether a call is in flight or of unknown outcome no longer matters for it.

Why it works: the agent takes over the token before it forgets, and refuses each start up to the recorded token from then on; an earlier incarnation's start it refuses anyway.

--- a/src/main/java/io/pearscale/scheduler/agents/DueCommands.java
+++ b/src/main/java/io/pearscale/scheduler/agents/DueCommands.java
@@ -92,28 +92,21 @@
   }
 
   /**
-   * Returns the ended attempts that the agent may forget now.
+   * Returns the ended attempts that the agent may forget now: all but those whose completion would
+   * be lost with the agent's report.
    *
    * <p>Invariant: after an agent has forgotten an attempt, it cannot execute a start command for
-   * that attempt. It would treat a delayed start as a new one, whether that start is in flight, is
-   * a copy, or has an unknown outcome. The forget command therefore carries a higher fencing token
-   * than any start of the attempt, and the agent refuses those starts from then on. A completed
-   * attempt needs no higher token: even if it is started again, its task stays completed.
+   * that attempt. It would treat one as new, whether that start is in flight, has an unknown
+   * outcome, or is a copy of one that it has executed and answered, which may arrive minutes later.
+   * The forget command therefore carries a higher fencing token than any start of the attempt,
+   * however the attempt ended, and the agent refuses those starts from then on.
    */
   private Set<AttemptId> forgettableAttempts(Machine machine) {
     Set<AttemptId> forgettable = new LinkedHashSet<>();
-    for (Map.Entry<AttemptId, Long> entry : machine.reportedAttempts().ended().entrySet()) {
-      AttemptId attempt = entry.getKey();
-      boolean completed = entry.getValue() < 0;
-      if (isCompletionNotDurable(attempt)) {
-        continue;
-      }
-      boolean startMayBeInFlight =
-          machine.reachability().commandInFlight() || machine.fencing().isCommandOutcomeUnknown();
-      if (completed && startMayBeInFlight) {
-        continue;
+    for (AttemptId attempt : machine.reportedAttempts().ended().keySet()) {
+      if (!isCompletionNotDurable(attempt)) {
+        forgettable.add(attempt);
       }
-      forgettable.add(attempt);
     }
     return forgettable;
   }
--- a/src/main/java/io/pearscale/scheduler/agents/TaskStatusApplier.java
+++ b/src/main/java/io/pearscale/scheduler/agents/TaskStatusApplier.java
@@ -30,12 +30,6 @@
 final class TaskStatusApplier {
   private static final Logger LOG = LoggerFactory.getLogger(TaskStatusApplier.class);
 
-  /**
-   * Replaces the start token of a completed attempt. A completed task stays completed even if it is
-   * started again, so the agent may forget the attempt without a higher fencing token.
-   */
-  private static final long NO_START_TOKEN = -1;
-
   private final Leadership leadership;
   private final JobTable jobs;
   private final MachineInventory inventory;
@@ -70,10 +64,7 @@
       ReportedAttempts.PreviousReport previous) {
     Optional<TaskAttempt> known = knownAttempt(machine, heartbeat, status);
     EndCause cause = EndCause.fromWireName(status.cause());
-    long startToken =
-        cause == EndCause.COMPLETED
-            ? NO_START_TOKEN
-            : known.map(TaskAttempt::startToken).orElse(machine.fencing().current());
+    long startToken = known.map(TaskAttempt::startToken).orElse(machine.fencing().current());
     AttemptId id = new AttemptId(status.task(), status.attempt());
     machine.reportedAttempts().addEnded(id, startToken, previous);
     known.ifPresent(attempt -> inventory.remove(attempt, AbsenceProof.ENDED));
--- a/src/main/java/io/pearscale/scheduler/model/ReportedAttempts.java
+++ b/src/main/java/io/pearscale/scheduler/model/ReportedAttempts.java
@@ -23,8 +23,7 @@
 
   /**
    * Returns the ended attempts, each with an upper bound for the fencing tokens of its start
-   * commands. The bound is below 0 for an attempt that is done, because it stays done however often
-   * it is started.
+   * commands.
    */
   public Map<AttemptId, Long> ended() {
     return endedView;
--- a/src/test/java/io/pearscale/sim/GangRunsTest.java
+++ b/src/test/java/io/pearscale/sim/GangRunsTest.java
@@ -37,8 +37,12 @@
   @TestFactory
   Stream<DynamicTest> gangsInRandomScenarios() {
     return SeededScenarios.expectNoFailures(
-        SeededScenarios.seeds(FIRST_SEED, RUNS),
-        seed -> withLines(RandomRunsTest.scenario(seed), gangLines(seed)));
+        SeededScenarios.seeds(FIRST_SEED, RUNS), GangRunsTest::scenarioWithGangs);
+  }
+
+  /** Returns the random scenario of the seed with gang jobs beside the others. */
+  static String scenarioWithGangs(long seed) {
+    return withLines(RandomRunsTest.scenario(seed), gangLines(seed));
   }
 
   /**
--- a/src/test/java/io/pearscale/sim/RandomRunsTest.java
+++ b/src/test/java/io/pearscale/sim/RandomRunsTest.java
@@ -60,11 +60,11 @@
    */
   @TestFactory
   Stream<DynamicTest> drainsInRandomScenarios() {
-    return SeededScenarios.expectNoFailures(
-        seeds(RUNS / 2), seed -> withDrains(scenario(seed), seed));
+    return SeededScenarios.expectNoFailures(seeds(RUNS / 2), RandomRunsTest::scenarioWithDrains);
   }
 
-  private static String withDrains(String scenario, long seed) {
+  /** Returns the random scenario of the seed while machines are drained. */
+  static String scenarioWithDrains(long seed) {
     RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 32452843);
     StringBuilder drains =
         new StringBuilder("nodes 3\nunchecked-budget * * most-down 2\nat 8 level 1\n");
@@ -81,7 +81,7 @@
           "at %.2f drain-desired-state d%d CANCEL\n"
               .formatted(at + 20 + random.nextDouble() * 90, i));
     }
-    return scenario.replaceFirst("nodes 3\n", drains.toString());
+    return scenario(seed).replaceFirst("nodes 3\n", drains.toString());
   }
 
   private static String withLevelChanges(String scenario, long seed) {
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -155,6 +155,7 @@
       case "class" ->
           cluster.objectives.add(
               new Settings.ServiceLevelObjective(w.get(2), w.get(1), parseSeconds(w.get(3))));
+      case "keep-command-copies" -> cluster.network.lateCommands.enable();
       case "faulty" -> cluster.cloud.faulty.addAll(w.subList(1, w.size()));
       case "never-boot" -> cluster.cloud.machinesThatNeverBoot = Integer.parseInt(w.get(1));
       case "until" -> runTime = parseSeconds(w.get(1));
@@ -380,6 +381,10 @@
         cluster.network.delayedCommands = Integer.parseInt(words.get(1));
         cluster.network.commandDelay = parseSeconds(words.get(2));
       }
+      case "repeat-commands" ->
+          cluster.network.lateCommands.repeat(
+              Double.parseDouble(words.get(1)), parseSeconds(words.get(2)));
+      case "deliver-command-copies" -> cluster.network.lateCommands.deliverAll();
       case "delay-commits" -> {
         cluster.store.lateCommits = Integer.parseInt(words.get(1));
         cluster.store.lateCommitDelay = parseSeconds(words.get(2));
--- a/src/test/java/io/pearscale/sim/SimAgent.java
+++ b/src/test/java/io/pearscale/sim/SimAgent.java
@@ -483,6 +483,7 @@
                   cachedImages.add(spec.image());
                   if (completed(cluster).contains(key.task)) {
                     cluster.startsOfDoneTasks++;
+                    cluster.checkStart(this, key.task);
                     end(key, state, "done");
                     return;
                   }
--- a/src/test/java/io/pearscale/sim/SimNetwork.java
+++ b/src/test/java/io/pearscale/sim/SimNetwork.java
@@ -59,10 +59,12 @@
   double lostCommandShare;
 
   final NetworkPartitions partitions = new NetworkPartitions(this::zoneOfMachine);
+  final LateCommands lateCommands;
   final LateHeartbeats lateHeartbeats = new LateHeartbeats(this::deliverLateHeartbeat);
 
   SimNetwork(SimulatedCluster cluster) {
     this.cluster = cluster;
+    this.lateCommands = new LateCommands(cluster);
   }
 
   private Optional<String> zoneOfMachine(String host) {
@@ -177,7 +179,19 @@
     } else if (cluster.controllers.containsKey(to)) {
       cluster.controllers.get(to).handleRequest(from, method, path, body, answer);
     } else if (cluster.agents.containsKey(to)) {
-      cluster.agents.get(to).handleRequest(method, path, body, answer);
+      cluster
+          .agents
+          .get(to)
+          .handleRequest(
+              method,
+              path,
+              body,
+              reply -> {
+                if (path.equals("/do") && reply.status() == 200) {
+                  lateCommands.executed(to, body);
+                }
+                answer.accept(reply);
+              });
     }
   }
 }
--- a/src/test/java/io/pearscale/sim/SimulatedCluster.java
+++ b/src/test/java/io/pearscale/sim/SimulatedCluster.java
@@ -228,7 +228,7 @@
   }
 
   /** Checks the invariants that a start of the task on the machine could violate. */
-  private void checkStart(SimAgent agent, TaskId task) {
+  void checkStart(SimAgent agent, TaskId task) {
     JobSpec spec = submitted.get(task.job());
     for (RunningTask running : runningTasks) {
       if (running.task.equals(task)) {
