Start a gang's task again only when its machine no longer lists the first start

Cause: a task that is lost before its gang runs is started again under the gang's attempt number, also on the same machine. DueCommands sent the command to forget the first start and the second start in one message, and planned attempts were matched with reports as well. A heartbeat that was sent before that message arrived still lists the first start as ended; the leader took that for the end of the second one and started the task elsewhere while the message was under way.

Evidence: leader script gang-restarted-on-its-machine on the sources of: [clear:wk-1/1, run:wk-1/1] to m-1 in one call; with the script's expectation of it changed (trial), the late heartbeat, then run:wk-1/1 to m-2 with the call to m-1 still in flight.

Change: a start waits until the agent no longer lists an ended attempt with the same task and number; a report of an ended attempt is not about a planned one.

Why it works: when the start is sent, a newer message has shown that the agent forgot the first one, so each later report of that number is about the second. Copies of the first start are refused, since it was forgotten under a higher token.

Tests: the leader script failed before, passes now; GangRunsTest and the golden digests of all scenarios pass unchanged. The price is one more round trip where a gang's task goes to the machine that has just refused or stopped it.

--- a/src/main/java/io/pearscale/scheduler/agents/DueCommands.java
+++ b/src/main/java/io/pearscale/scheduler/agents/DueCommands.java
@@ -139,7 +139,7 @@
     }
     Resources available = null;
     for (TaskAttempt attempt : List.copyOf(machine.attempts().values())) {
-      if (!isStartDurable(attempt) || mayBeRefusedAsBusy(machine, attempt, forgotten)) {
+      if (!isStartDurable(attempt) || waitsForEndedAttempt(machine, attempt, forgotten)) {
         continue;
       }
       if (available == null) {
@@ -172,12 +172,16 @@
   }
 
   /**
-   * Returns whether the agent may refuse the attempt, since it has not forgotten an ended attempt
-   * of the same task.
+   * Returns whether the start has to wait for an ended attempt of the same task that the agent
+   * still lists. The agent may refuse the start unless the same message tells it to forget that
+   * attempt. An attempt of a gang may have the same number as the ended one. It waits until the
+   * agent no longer lists that: a report of the end of the one would otherwise seem to be about the
+   * other, whose start may still be in flight.
    */
-  private static boolean mayBeRefusedAsBusy(
+  private static boolean waitsForEndedAttempt(
       Machine machine, TaskAttempt attempt, Set<AttemptId> forgotten) {
     return machine.reportedAttempts().ended().keySet().stream()
-        .anyMatch(ended -> ended.task().equals(attempt.task()) && !forgotten.contains(ended));
+        .filter(ended -> ended.task().equals(attempt.task()))
+        .anyMatch(ended -> ended.attempt() == attempt.number() || !forgotten.contains(ended));
   }
 }
--- a/src/main/java/io/pearscale/scheduler/agents/TaskStatusApplier.java
+++ b/src/main/java/io/pearscale/scheduler/agents/TaskStatusApplier.java
@@ -55,14 +55,17 @@
 
   /**
    * Applies the status of an ended attempt. The agent lists it until a command makes the agent
-   * forget it.
+   * forget it. The status is not about a planned attempt with the same number, which was not
+   * started yet.
    */
   void applyEnded(
       Machine machine,
       Heartbeat heartbeat,
       TaskStatus status,
       ReportedAttempts.PreviousReport previous) {
-    Optional<TaskAttempt> known = knownAttempt(machine, heartbeat, status);
+    Optional<TaskAttempt> known =
+        knownAttempt(machine, heartbeat, status)
+            .filter(attempt -> attempt.stage() != Stage.PLANNED);
     EndCause cause = EndCause.fromWireName(status.cause());
     long startToken = known.map(TaskAttempt::startToken).orElse(machine.fencing().current());
     AttemptId id = new AttemptId(status.task(), status.attempt());
