Take a task that vanishes from its machine's reports for gone under a higher token only

What callers would see: a task on two machines (ran_twice), when a machine is back within a second without its tasks but with its incarnation and token, and a copy of the start follows. PROTOCOL's workers begin another session when they lose their tasks, so no conforming worker is known to do this; the proof rested on that alone.

Cause: AbsenceProver took an attempt for absent that an earlier message had listed, whatever token the agent showed: whoever listed it had executed its start, so that start was taken for over. A copy of an executed start is executed again by an agent that doesn't know the attempt.

Change: two proofs are left, a later incarnation and a token above any start's. For an attempt that vanished otherwise the token is incremented, so that the next message can prove it.

Why it works: the agent refuses the start, original or copy, once it has shown the higher token; until then the task counts as being there.

Tests: leader script vanished-attempt-needs-a-higher-token: failed before (token offset 0, the task started on m-2 at once), passes now. ScenarioTest and the golden digests of all scenarios pass unchanged: none of them meets this case.

--- a/src/main/java/io/pearscale/scheduler/agents/AbsenceProver.java
+++ b/src/main/java/io/pearscale/scheduler/agents/AbsenceProver.java
@@ -13,15 +13,17 @@
  * Derives from a heartbeat which attempts are absent from its machine.
  *
  * <p>Invariant: an attempt that a heartbeat does not list is absent only if the agent can no longer
- * execute a start command for it. This holds in three cases:
+ * execute a start command for it, including copies of starts that it has executed before. This
+ * holds in two cases:
  *
  * <ul>
  *   <li>The attempt was started in an earlier incarnation, which ended together with its tasks.
- *   <li>An earlier message listed the attempt. An agent lists an attempt from its start until a
- *       command makes the agent forget it.
  *   <li>The heartbeat shows a higher fencing token than any start command for the attempt carried.
  *       From then on the agent refuses those commands.
  * </ul>
+ *
+ * <p>That an earlier message listed the attempt is no proof: an agent that has lost a task, but not
+ * its incarnation and its token, would execute a copy of the start.
  */
 final class AbsenceProver {
   private final MachineInventory inventory;
@@ -31,7 +33,8 @@
   }
 
   /**
-   * Removes the attempts that the heartbeat proves to be absent.
+   * Removes the attempts that the heartbeat proves to be absent. For an attempt whose absence only
+   * a higher fencing token can prove, the machine's token is incremented.
    *
    * @param present the attempts that the heartbeat lists as present
    */
@@ -42,8 +45,10 @@
       }
       if (attempt.startIncarnation() < heartbeat.incarnation()) {
         inventory.remove(attempt, AbsenceProof.LATER_INCARNATION);
-      } else if (attempt.observed() || attempt.startToken() < heartbeat.fencingToken()) {
+      } else if (attempt.startToken() < heartbeat.fencingToken()) {
         inventory.remove(attempt, AbsenceProof.NOT_REPORTED);
+      } else if (attempt.observed()) {
+        machine.fencing().raiseAbove(attempt.startToken());
       }
     }
   }
--- a/src/main/java/io/pearscale/scheduler/model/AbsenceProof.java
+++ b/src/main/java/io/pearscale/scheduler/model/AbsenceProof.java
@@ -13,8 +13,8 @@
   /** A message from the machine reports that the attempt has ended. */
   ENDED,
   /**
-   * A message from the machine does not list the attempt, although an earlier message listed it or
-   * the machine has observed a higher fencing token than the start command carried.
+   * A message from the machine does not list the attempt and shows a higher fencing token than any
+   * start command for the attempt carried.
    */
   NOT_REPORTED,
   /**
