Increment the token for a stopped start whose outcome a call in flight hid

What callers would see: nothing wrong, but a task that never starts again, or a team that stays at its limit. A cancelled or preempted task counts as present for ever, with its record, until something else raises the machine's token. Found while reading which doubts end by which token.

Cause: MachineInventory.stop increments the token for a start that no message has shown, but not while a call to the machine is in flight, since its reply may settle the start. Where another message had carried the start (a heartbeat response that was lost) and the call is a probe or another command, its reply settles nothing, and nothing incremented the token later: a start to be stopped is not sent again.

Change: AbsenceProver, which looks at each attempt that a message doesn't list, increments the token for a stopped start once no call is in flight.

Why it works: the next message to the machine carries the higher token, and the first one from it that shows the token without the task is the proof.

Tests: leader script stopped-start-beside-another-call: failed before (kill sent with token offset 1, the start's own, and wk-3 of the same team not started), passes now. ScenarioTest, CancelRunsTest, LateCommandRunsTest and the golden digests pass unchanged.

--- a/src/main/java/io/pearscale/scheduler/agents/AbsenceProver.java
+++ b/src/main/java/io/pearscale/scheduler/agents/AbsenceProver.java
@@ -47,9 +47,20 @@
         inventory.remove(attempt, AbsenceProof.LATER_INCARNATION);
       } else if (attempt.startToken() < heartbeat.fencingToken()) {
         inventory.remove(attempt, AbsenceProof.NOT_REPORTED);
-      } else if (attempt.observed()) {
+      } else if (needsHigherToken(attempt)) {
         machine.fencing().raiseAbove(attempt.startToken());
       }
     }
   }
+
+  /**
+   * Returns whether only a higher fencing token can end the wait for an attempt that a heartbeat
+   * does not list. A start that is not to be stopped is sent again instead, and one that a call in
+   * flight carries has its outcome with the reply.
+   */
+  private static boolean needsHigherToken(TaskAttempt attempt) {
+    boolean startInDoubt =
+        attempt.stopping() && !attempt.machine().reachability().commandInFlight();
+    return attempt.observed() || startInDoubt;
+  }
 }
--- a/src/test/java/io/pearscale/sim/LeaderScript.java
+++ b/src/test/java/io/pearscale/sim/LeaderScript.java
@@ -515,10 +515,12 @@
             : Optional.of("grace period was " + actual);
       }
       case "token" -> {
-        long actual = response.map(HeartbeatResponse::fencingToken).orElse(-1L) - (term << 24) - 1;
-        return actual == Long.parseLong(words.get(1))
-            ? Optional.empty()
-            : Optional.of("token offset was " + actual);
+        long token = response.map(HeartbeatResponse::fencingToken).orElse(-1L);
+        return checkTokenOffset(token, Long.parseLong(words.get(1)));
+      }
+      case "command-token" -> {
+        long token = sentCommands.get(words.get(1)).body.path("baton").asLong();
+        return checkTokenOffset(token, Long.parseLong(words.get(2)));
       }
       case "stored" -> {
         boolean stored =
@@ -581,6 +583,12 @@
     }
   }
 
+  /** Compares a token with an offset from the first token of the term. */
+  private Optional<String> checkTokenOffset(long token, long expected) {
+    long actual = token - ((term << 24) + 1);
+    return actual == expected ? Optional.empty() : Optional.of("token offset was " + actual);
+  }
+
   private void advance(Duration time) {
     cluster.runUntil(cluster.elapsed().plus(time));
   }
