Raise the token of a machine in one way, above a given token

Tokens were incremented at five places, twice without asking whether that was still necessary. raiseAbove names the token that has to be outbid; increment is gone. What says that a command is over or may still be executed says what it is no proof of, and the number of a gang's attempt is described as it is used.

--- a/src/main/java/io/pearscale/protocol/AgentCommand.java
+++ b/src/main/java/io/pearscale/protocol/AgentCommand.java
@@ -11,7 +11,8 @@
  *
  * @param verb the action that the agent performs
  * @param task the task that the command applies to
- * @param attempt the attempt number, which is never reused for another attempt of the task
+ * @param attempt the attempt number; only a task of a gang that does not run yet is started again
+ *     under the same one
  * @param gracePeriod how long a stopped task may take to save a checkpoint; zero for other verbs
  */
 public record AgentCommand(Verb verb, TaskId task, long attempt, Duration gracePeriod) {
--- a/src/main/java/io/pearscale/scheduler/model/AttemptId.java
+++ b/src/main/java/io/pearscale/scheduler/model/AttemptId.java
@@ -5,7 +5,8 @@
 /**
  * Identifies one attempt of a task.
  *
- * @param attempt the attempt's number, unique across all terms
+ * @param attempt the attempt's number, unique across all terms; the tasks of a gang share it, and a
+ *     task that is replaced before its gang runs keeps it
  */
 public record AttemptId(TaskId task, long attempt) {
   // Implemented explicitly for speed: instances are map keys that are looked up for every task in
--- a/src/main/java/io/pearscale/scheduler/model/FencingTokens.java
+++ b/src/main/java/io/pearscale/scheduler/model/FencingTokens.java
@@ -50,23 +50,16 @@
 
   /**
    * Returns the current token, incremented first if it is not above the given one. Once the machine
-   * reports the result, it executes no command with the given token.
+   * reports the result, it executes no command with the given token: neither one in flight nor a
+   * late copy of one that it has executed and answered.
    */
   public long raiseAbove(long token) {
     if (current <= token) {
-      increment();
+      current++;
     }
     return current;
   }
 
-  /**
-   * Increments the token. Once the machine reports the new token, it executes no command with an
-   * older one.
-   */
-  public void increment() {
-    current++;
-  }
-
   /** Records a token that a message from the machine reports. */
   void observe(long token) {
     observed = Math.max(observed, token);
@@ -74,15 +67,19 @@
 
   /**
    * Records that the outcome of a command with the given token is unknown: it may have been
-   * executed, or may be executed until the machine reports a higher token. Increments the token so
-   * that the machine can report one.
+   * executed, or may be executed until the machine reports a higher token. Increments the token if
+   * the machine could not report a higher one otherwise.
    */
   public void commandOutcomeUnknown(long token) {
     unknownOutcomeToken = Math.max(unknownOutcomeToken, token);
-    increment();
+    raiseAbove(token);
   }
 
-  /** Returns whether a command of unknown outcome may still be executed. */
+  /**
+   * Returns whether a command of unknown outcome may still be executed. It says nothing about
+   * commands that were answered: a late copy of one is executed as well until the machine has seen
+   * a higher token, so no attempt is taken for absent, and none is forgotten, on this ground.
+   */
   public boolean isCommandOutcomeUnknown() {
     return unknownOutcomeToken >= observed;
   }
--- a/src/main/java/io/pearscale/scheduler/model/MachineInventory.java
+++ b/src/main/java/io/pearscale/scheduler/model/MachineInventory.java
@@ -199,7 +199,7 @@
         && !attempt.machine().reachability().commandInFlight()) {
       // A start command may still be in transit. Only a higher fencing token makes the agent refuse
       // it.
-      attempt.machine().fencing().increment();
+      attempt.machine().fencing().raiseAbove(attempt.startToken());
     }
   }
 
