--- a/src/test/java/io/pearscale/sim/LateCommandFaults.java
+++ b/src/test/java/io/pearscale/sim/LateCommandFaults.java
@@ -8,7 +8,8 @@
 /**
  * Adds late copies of executed commands to the scenario of a seed: some follow each command, and
  * others arrive all together, at random times and within a second after a controller or a machine
- * was restarted or a job was cancelled.
+ * was restarted or a job was cancelled. In a third of the scenarios an agent loses its tasks, but
+ * neither its incarnation nor its fencing token.
  */
 final class LateCommandFaults {
   private static final Pattern EVENT_THAT_COPIES_FOLLOW =
@@ -16,6 +17,9 @@
 
   private static final int LAST_COPY_SECOND = 140;
 
+  /** Number of machines, from the first one on, of which one may lose its tasks. */
+  private static final int MACHINES = 4;
+
   private LateCommandFaults() {}
 
   /** Returns the scenario with the additional faults, the same text for the same seed. */
@@ -27,6 +31,11 @@
     for (int i = 0; i < 3; i++) {
       faults.event(10 + random.nextDouble() * (LAST_COPY_SECOND - 10), "deliver-command-copies");
     }
+    if (random.nextInt(3) == 0) {
+      double at = 10 + random.nextDouble() * 80;
+      faults.event(at, "lose-tasks m-%06d", random.nextInt(MACHINES));
+      faults.event(at + random.nextDouble(), "deliver-command-copies");
+    }
     Matcher events = EVENT_THAT_COPIES_FOLLOW.matcher(scenario);
     while (events.find()) {
       if (random.nextInt(3) == 0) {
--- a/src/test/java/io/pearscale/sim/LateCommandRunsTest.java
+++ b/src/test/java/io/pearscale/sim/LateCommandRunsTest.java
@@ -15,49 +15,47 @@
 class LateCommandRunsTest {
   private static final int RUNS = Integer.getInteger("pearscale.lateCommandRuns", 40);
   private static final long FIRST_SEED = Long.getLong("pearscale.firstSeed", 1);
-  private static final List<Long> SEEDS = SeededScenarios.seeds(FIRST_SEED, RUNS);
   private static final int MACHINES = 18;
 
   /**
-   * Seeds on which a copy started a completed task after its job was cancelled, since an agent was
-   * told to forget it without a higher fencing token.
+   * Seeds on which a copy of a completed task's start, or of one that an agent had lost, began the
+   * task again: on two machines, after the cancellation of its job, or above a limit.
    */
-  private static final List<Long> CANCELLED_REGRESSION_SEEDS = List.of(52L, 282L);
+  private static final List<Long> REGRESSION_SEEDS = List.of(47L, 52L, 88L, 97L);
 
   @TestFactory
   Stream<DynamicTest> copiesAmidRandomFaults() {
-    List<Long> seeds = new ArrayList<>(SEEDS);
-    seeds.addAll(CANCELLED_REGRESSION_SEEDS);
-    return withCopies(seeds, RandomRunsTest::scenario);
+    return withCopies(RandomRunsTest::scenario);
   }
 
   @TestFactory
   Stream<DynamicTest> copiesAmidDrains() {
-    return withCopies(SEEDS, RandomRunsTest::scenarioWithDrains);
+    return withCopies(RandomRunsTest::scenarioWithDrains);
   }
 
   @TestFactory
   Stream<DynamicTest> copiesAmidGangs() {
-    return withCopies(SEEDS, GangRunsTest::scenarioWithGangs);
+    return withCopies(GangRunsTest::scenarioWithGangs);
   }
 
   @TestFactory
   Stream<DynamicTest> copiesAmidCancels() {
-    return withCopies(SEEDS, seed -> CancellationScenarioGenerator.generate(seed, MACHINES));
+    return withCopies(seed -> CancellationScenarioGenerator.generate(seed, MACHINES));
   }
 
   @TestFactory
   Stream<DynamicTest> copiesAmidNewIncarnations() {
-    return withCopies(SEEDS, seed -> LeaseExpiryScenarioGenerator.generate(seed, MACHINES));
+    return withCopies(seed -> LeaseExpiryScenarioGenerator.generate(seed, MACHINES));
   }
 
   @TestFactory
   Stream<DynamicTest> copiesBesideFormerLeader() {
-    return withCopies(SEEDS, seed -> FormerLeaderScenarioGenerator.generate(seed, MACHINES));
+    return withCopies(seed -> FormerLeaderScenarioGenerator.generate(seed, MACHINES));
   }
 
-  private static Stream<DynamicTest> withCopies(
-      List<Long> seeds, LongFunction<String> scenarioFor) {
+  private static Stream<DynamicTest> withCopies(LongFunction<String> scenarioFor) {
+    List<Long> seeds = new ArrayList<>(SeededScenarios.seeds(FIRST_SEED, RUNS));
+    seeds.addAll(REGRESSION_SEEDS);
     return SeededScenarios.expectNoViolations(
         seeds, seed -> LateCommandFaults.addTo(scenarioFor.apply(seed), seed));
   }
--- a/src/test/java/io/pearscale/sim/Scenario.java
+++ b/src/test/java/io/pearscale/sim/Scenario.java
@@ -59,9 +59,14 @@
     return cluster;
   }
 
-  List<String> run() {
+  /** Starts the controllers and the checks, without running the simulation. */
+  void begin() {
     cluster.controllers.values().forEach(SimController::start);
     cluster.checkInvariants();
+  }
+
+  List<String> run() {
+    begin();
     cluster.runUntil(runTime);
     int before = failures.size();
     expectations.forEach(Runnable::run);
@@ -259,7 +264,8 @@
 
   private final Map<String, String> aliases = new HashMap<>();
 
-  private void performAction(List<String> words) {
+  /** Performs one action of a script now. */
+  void performAction(List<String> words) {
     String verb = words.get(0);
     cluster.trace("action " + String.join(" ", words));
     switch (verb) {
@@ -310,6 +316,7 @@
         }
       }
       case "reboot" -> findAgent(words.get(1)).ifPresent(SimAgent::reboot);
+      case "lose-tasks" -> findAgent(words.get(1)).ifPresent(SimAgent::loseTasks);
       case "cut-agent-to-controller" ->
           cluster.network.agentToControllerPathDown.add(resolveName(words.get(1)));
       case "heal-agent-to-controller" ->
--- a/src/test/java/io/pearscale/sim/SimAgent.java
+++ b/src/test/java/io/pearscale/sim/SimAgent.java
@@ -44,6 +44,7 @@
   private long incarnation = 1;
   private long sequence;
   private long fencingToken;
+  private long acceptedResponses;
   private Instant leaseStart;
   private int controllerIndex;
   private boolean heartbeatPending;
@@ -54,6 +55,9 @@
   private long heartbeatTimer;
   boolean faulty;
 
+  /** Whether the agent refuses its next start, as if its resources were in use. */
+  boolean refusesNextStart;
+
   /** Injected fault for a test of the checker: the agent does not execute stop commands. */
   boolean ignoresStops;
 
@@ -123,6 +127,44 @@
     requestHeartbeat();
   }
 
+  /** Loses all tasks, but neither the incarnation nor the fencing token. */
+  void loseTasks() {
+    clearTasks();
+    requestHeartbeat();
+  }
+
+  /** Returns the highest fencing token that the agent has seen. */
+  long fencingToken() {
+    return fencingToken;
+  }
+
+  /** Returns the agent's incarnation. */
+  long incarnation() {
+    return incarnation;
+  }
+
+  /** Returns how many heartbeat responses the agent has accepted. */
+  long acceptedResponses() {
+    return acceptedResponses;
+  }
+
+  /** Returns whether the agent lists the attempt, in any state. */
+  boolean lists(TaskId task, long attempt) {
+    return tasks.containsKey(new TaskAttempt(task, attempt));
+  }
+
+  /** Returns whether the attempt is present and has begun to run. */
+  boolean hasStarted(TaskId task, long attempt) {
+    TaskState state = tasks.get(new TaskAttempt(task, attempt));
+    return state != null && state.started;
+  }
+
+  /** Returns whether the agent lists the attempt as ended. */
+  boolean hasEnded(TaskId task, long attempt) {
+    TaskState state = tasks.get(new TaskAttempt(task, attempt));
+    return state != null && state.stage.equals("ended");
+  }
+
   void hang() {
     hung = true;
     cluster.gangChecker().machineUnresponsive(name, cluster.now);
@@ -313,6 +355,7 @@
         boolean higherToken = responseToken > fencingToken;
         fencingToken = responseToken;
         leaseStart = sentAt;
+        acceptedResponses++;
         cluster.network.lateHeartbeats.responseReceived(fencingToken);
         reply.body().path("orders").forEach(this::execute);
         if (higherToken) {
@@ -464,7 +507,8 @@
         used += cluster.submitted.get(entry.getKey().task.job()).cpus();
       }
     }
-    if (spec == null || used + spec.cpus() > type.cpus() + 1e-6) {
+    if (spec == null || used + spec.cpus() > type.cpus() + 1e-6 || refusesNextStart) {
+      refusesNextStart = false;
       end(key, state, spec == null ? "no_such" : "no_room");
       return;
     }
--- a/src/test/java/io/pearscale/sim/SimNetwork.java
+++ b/src/test/java/io/pearscale/sim/SimNetwork.java
@@ -123,6 +123,9 @@
       String receiver = cluster.randomRunningController().map(n -> n.name).orElse(to);
       cluster.after(duplicateDelay, () -> serve(from, receiver, method, path, copy, r -> {}));
     }
+    if (isCommand && lateCommands.holds(to, copy)) {
+      return;
+    }
     if (isCommand && delayedCommands > 0) {
       delayedCommands--;
       cluster.after(commandDelay, () -> serve(from, to, method, path, copy, r -> {}));
