Find enum constants by their names in one place

The same loop over the constants of an enum stood five times (Priority, WorkloadType, budgets, and two in DrainRequest). EnumNames serves all of them. KeyValueStoreClient.canWrite, which nobody used, is gone. No behaviour changes.

--- a/src/main/java/io/pearscale/drain/DisruptionBudget.java
+++ b/src/main/java/io/pearscale/drain/DisruptionBudget.java
@@ -1,5 +1,6 @@
 package io.pearscale.drain;
 
+import io.pearscale.protocol.EnumNames;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -37,12 +38,7 @@
 
     /** Returns the kind with the given name; empty if there is none. */
     public static Optional<Kind> parse(String configName) {
-      for (Kind kind : values()) {
-        if (kind.configName.equals(configName)) {
-          return Optional.of(kind);
-        }
-      }
-      return Optional.empty();
+      return EnumNames.find(values(), Kind::configName, configName);
     }
   }
 
--- a/src/main/java/io/pearscale/drain/DrainRequest.java
+++ b/src/main/java/io/pearscale/drain/DrainRequest.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pearscale.protocol.EnumNames;
 import io.pearscale.protocol.MalformedMessageException;
 import io.pearscale.protocol.MessageFields;
 import io.pearscale.storage.KeyValueStoreClient.Mutation;
@@ -49,12 +50,8 @@
     }
 
     private static CompletionAction parse(String text) throws MalformedMessageException {
-      for (CompletionAction action : values()) {
-        if (action.storedName.equals(text)) {
-          return action;
-        }
-      }
-      throw unknownName(text);
+      return EnumNames.find(values(), action -> action.storedName, text)
+          .orElseThrow(() -> unknownName(text));
     }
   }
 
@@ -74,12 +71,8 @@
     }
 
     private static DesiredState parse(String text) throws MalformedMessageException {
-      for (DesiredState state : values()) {
-        if (state.storedName.equals(text)) {
-          return state;
-        }
-      }
-      throw unknownName(text);
+      return EnumNames.find(values(), state -> state.storedName, text)
+          .orElseThrow(() -> unknownName(text));
     }
   }
 
--- a/src/main/java/io/pearscale/protocol/Priority.java
+++ b/src/main/java/io/pearscale/protocol/Priority.java
@@ -1,5 +1,6 @@
 package io.pearscale.protocol;
 
+import java.util.Locale;
 import java.util.Optional;
 
 /** The priorities of jobs, in ascending order. */
@@ -11,16 +12,11 @@
 
   /** Returns the name on the wire. */
   public String wireName() {
-    return name().toLowerCase(java.util.Locale.ROOT);
+    return name().toLowerCase(Locale.ROOT);
   }
 
   /** Returns the priority with the given wire name; empty if there is none. */
   public static Optional<Priority> parse(String name) {
-    for (Priority priority : values()) {
-      if (priority.wireName().equals(name)) {
-        return Optional.of(priority);
-      }
-    }
-    return Optional.empty();
+    return EnumNames.find(values(), Priority::wireName, name);
   }
 }
--- a/src/main/java/io/pearscale/protocol/WorkloadType.java
+++ b/src/main/java/io/pearscale/protocol/WorkloadType.java
@@ -1,6 +1,5 @@
 package io.pearscale.protocol;
 
-import java.util.Arrays;
 import java.util.Optional;
 
 /** How the tasks of a job depend on each other. */
@@ -27,6 +26,6 @@
 
   /** Returns the type with the given wire name; empty if there is none. */
   public static Optional<WorkloadType> parse(String wireName) {
-    return Arrays.stream(values()).filter(type -> type.wireName.equals(wireName)).findFirst();
+    return EnumNames.find(values(), WorkloadType::wireName, wireName);
   }
 }
--- a/src/main/java/io/pearscale/storage/KeyValueStoreClient.java
+++ b/src/main/java/io/pearscale/storage/KeyValueStoreClient.java
@@ -92,11 +92,6 @@
     return lastSuccess;
   }
 
-  /** Whether the write rate limit currently allows the given number of mutations. */
-  public boolean canWrite(int mutations) {
-    return writeBucket.canAcquire(mutations);
-  }
-
   /**
    * Applies the mutations if every precondition holds and the stored schema level is still the one
    * that this controller knows. A controller that missed a change of the schema level must not
